--- /dev/null
+++ b/libs/batch/include/batch/batch.hpp
@@ -0,0 +1,472 @@
+#pragma once
+
+#include "base/base.hpp"
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+/**
+ * Decides where the tasks of jobs run: one reducer over every event that the
+ * placing daemon learns of, with its calls as values. Pure: no I/O, no clock,
+ * no randomness; the time is in the event. Not thread-safe.
+ * docs/design/platform.md says why there is one placer.
+ */
+namespace cicada::batch
+{
+
+// ---- configuration -------------------------------------------------------
+
+/** What one call for advice costs; the advisor's policy filters workers. */
+struct advice_terms
+{
+    double decision_ms = 0.0;   //!< for each call
+    double per_worker_ms = 0.0; //!< for each worker named
+    milliseconds validity{0};   //!< of a ticket
+
+    bool operator==(advice_terms const&) const = default;
+};
+
+/** A queue that callers hand jobs in to. */
+struct queue_rule
+{
+    std::string name;
+    std::string host;
+    std::string prefix; //!< of the path; the longest match wins
+    std::string service;
+    int priority = 0;     //!< 0 is placed first
+    int max_attempts = 1; //!< failed runs of one task
+    double slack_factor = 1.0;
+    milliseconds target{0}; //!< beyond slack_factor x the longest chain
+    std::optional<advice_terms> advice;
+
+    bool operator==(queue_rule const&) const = default;
+};
+
+/** The operators' configuration; only a higher version replaces another. */
+struct cell_config
+{
+    std::int64_t version = 0;
+    std::vector<queue_rule> queues;
+    std::size_t header_bytes = std::size_t{16} << 10;
+    std::size_t body_bytes = std::size_t{256} << 10;
+
+    bool operator==(cell_config const&) const = default;
+};
+
+/** The queue with the longest prefix of this path; null: none. */
+queue_rule const* find_queue(cell_config const& config,
+                             std::string const& host,
+                             std::string const& path);
+
+// ---- jobs ----------------------------------------------------------------
+
+/** One step of a job: `count` like tasks. */
+struct task_step
+{
+    int count = 1;
+    resources size; //!< of one task
+    milliseconds estimate{0};
+    std::vector<int> after; //!< earlier steps that end first
+    bool gang = false;      //!< all tasks at once or none
+    bool same_rack = false; //!< a gang is slow across racks
+    bool checkpointing = false;
+    std::string required_label; //!< empty: any worker
+    std::string data_rack;      //!< empty: any is as near
+    int per_worker = 0;         //!< at most so many; 0: no limit
+
+    bool operator==(task_step const&) const = default;
+};
+
+/** A job as it was accepted; never changes. */
+struct job
+{
+    std::string id;
+    queue_rule queue;
+    std::string spec; //!< handed to the workers as it is
+    std::vector<task_step> steps;
+    std::uint64_t epoch = 0; //!< no placer of a lower one may start it
+
+    bool operator==(job const&) const = default;
+};
+
+/** Empty if the job can be run; else why it is refused. */
+std::string check_job(job const& given);
+
+/** The sum of estimates along the longest chain of steps. */
+milliseconds longest_chain(job const& given);
+
+/** What callers are shown. */
+enum class job_state
+{
+    queued,
+    running,
+    completed,
+    failed,
+    cancelled
+};
+
+/** What must survive the placer; stored after each change. */
+struct job_progress
+{
+    job_state state = job_state::queued;
+    std::vector<std::vector<bool>> done;    //!< by step and task
+    std::vector<std::vector<int>> failures; //!< failed runs
+
+    bool operator==(job_progress const&) const = default;
+};
+
+/** Records of the store, as opaque bytes. Errors: invalid_input. */
+std::string encode_job(job const& given);
+result<job> decode_job(std::string const& bytes);
+std::string encode_progress(job_progress const& progress);
+result<job_progress> decode_progress(std::string const& bytes);
+
+// ---- workers -------------------------------------------------------------
+
+/** One task of one job. */
+struct task_ref
+{
+    std::string job;
+    int step = 0;
+    int index = 0;
+
+    auto operator<=>(task_ref const&) const = default;
+};
+
+/** A worker as the list of workers has it. */
+struct worker_offer
+{
+    std::string id;
+    std::string service;
+    address where;
+    zone_id zone;
+    resources capacity;
+    std::vector<std::string> labels; //!< its kind and its rack
+    bool draining = false;
+    std::int64_t born = 0; //!< differs between lives under one id
+
+    bool operator==(worker_offer const&) const = default;
+};
+
+/** A run that a worker reports. */
+struct active_run
+{
+    task_ref task;
+    std::uint64_t run = 0;
+    std::string checkpoint;
+
+    bool operator==(active_run const&) const = default;
+};
+
+enum class run_end
+{
+    done,
+    failed,
+    stopped,
+    lapsed, //!< the worker's lease ran out
+    broken, //!< another member of the gang ended
+    alone   //!< the rest of the gang didn't come
+};
+
+/** The end of a run; listed again until it is acknowledged. */
+struct finished_run
+{
+    std::uint64_t number = 0; //!< rises from 1 in each life of a worker
+    task_ref task;
+    std::uint64_t run = 0;
+    run_end how = run_end::done;
+    std::string checkpoint;
+
+    bool operator==(finished_run const&) const = default;
+};
+
+/** A worker's answer to a look. */
+struct worker_report
+{
+    std::int64_t born = 0;
+    std::int64_t clock_ms = 0; //!< of the worker's own clock
+    std::vector<active_run> active;
+    std::vector<finished_run> finished;
+    bool more_finished = false; //!< the list was cut
+
+    bool operator==(worker_report const&) const = default;
+};
+
+/** What became of an order to a worker. */
+enum class order_outcome
+{
+    done,       //!< carried out, now or earlier
+    fenced,     //!< a higher fencing token has been seen
+    refused,    //!< not carried out: old run, late, no room, no ticket
+    busy,       //!< not carried out: the worker is unhealthy
+    other_life, //!< the worker has been restarted
+    unknown     //!< no answer: may be carried out, even seconds later
+};
+
+// ---- events --------------------------------------------------------------
+
+struct time_passed
+{
+};
+
+struct worker_listed
+{
+    worker_offer offer;
+};
+
+struct worker_unlisted
+{
+    std::string worker;
+};
+
+/** All workers of the list have been told since the start. */
+struct workers_complete
+{
+};
+
+struct job_stored
+{
+    job accepted;
+    std::optional<job_progress> progress; //!< none: nothing has started
+};
+
+struct cancel_stored
+{
+    std::string job;
+};
+
+struct look_answered
+{
+    std::string worker;
+    std::uint64_t token = 0; //!< that the look carried
+    instant sent;
+    worker_report report;
+};
+
+struct look_failed
+{
+    std::string worker;
+    order_outcome why = order_outcome::unknown;
+    std::uint64_t token = 0;
+};
+
+struct start_answered
+{
+    std::string worker;
+    task_ref task;
+    std::uint64_t run = 0;
+    std::uint64_t token = 0;
+    order_outcome outcome = order_outcome::unknown;
+};
+
+struct stop_answered
+{
+    std::string worker;
+    task_ref task;
+    std::uint64_t run = 0;
+    std::uint64_t token = 0;
+    order_outcome outcome = order_outcome::unknown;
+};
+
+/** A worker that may run a step, and the ticket that proves it. */
+struct advised_worker
+{
+    std::string worker;
+    std::string ticket;
+
+    bool operator==(advised_worker const&) const = default;
+};
+
+struct advice_answered
+{
+    std::uint64_t call = 0; //!< of the ask_advice that it answers
+    std::string asker;
+    std::string job;
+    int step = 0;
+    std::vector<std::string> asked;
+    std::vector<advised_worker> allowed;
+    milliseconds validity{0};
+    bool answered = false; //!< false: nothing was learnt
+};
+
+/** The outcome of a save; its records count as stored only if it is. */
+struct progress_saved
+{
+    std::uint64_t save = 0;
+    bool stored = false;
+};
+
+/** The daemons that can ask for advice, by name. */
+struct askers_changed
+{
+    std::vector<std::string> askers;
+};
+
+using event_body = std::variant<time_passed,
+                                worker_listed,
+                                worker_unlisted,
+                                workers_complete,
+                                job_stored,
+                                cancel_stored,
+                                look_answered,
+                                look_failed,
+                                start_answered,
+                                stop_answered,
+                                advice_answered,
+                                progress_saved,
+                                askers_changed>;
+
+struct event
+{
+    instant at;
+    event_body body;
+};
+
+// ---- effects -------------------------------------------------------------
+
+/** Reads a worker's runs and extends its lease; waits for an end. */
+struct look_at
+{
+    std::string worker;
+    address where;
+    std::uint64_t token = 0;
+    std::uint64_t acknowledged = 0;          //!< ends up to here are stored
+    std::optional<std::int64_t> lease_until; //!< by the worker's clock
+    milliseconds wait{0};
+};
+
+struct start_task
+{
+    std::string worker;
+    address where;
+    task_ref task;
+    std::uint64_t run = 0;
+    std::uint64_t token = 0;
+    std::string spec;
+    std::string checkpoint; //!< empty: from the beginning
+    std::string ticket;     //!< empty: none needed
+    std::int64_t lease_until = 0;
+};
+
+struct stop_task
+{
+    std::string worker;
+    address where;
+    task_ref task;
+    std::uint64_t run = 0;
+    std::uint64_t token = 0;
+};
+
+struct ask_advice
+{
+    std::uint64_t call = 0; //!< differs between calls of one placer
+    std::string asker;      //!< the daemon that makes the call
+    std::string job;
+    int step = 0;
+    std::vector<std::string> workers;
+    milliseconds expected{0};
+};
+
+/** Stores records, in one transaction. */
+struct save_progress
+{
+    std::uint64_t save = 0;
+    std::vector<std::pair<std::string, std::string>> records; //!< by job
+};
+
+/** One decision, for the log. */
+struct log_decision
+{
+    int number = 0; //!< of docs/EVENTS.md
+    std::string detail;
+};
+
+/** Another placer has a higher token: this one stops. */
+struct give_up_placing
+{
+};
+
+using effect = std::variant<look_at,
+                            start_task,
+                            stop_task,
+                            ask_advice,
+                            save_progress,
+                            log_decision,
+                            give_up_placing>;
+
+// ---- the reducer ---------------------------------------------------------
+
+/** Figures that stay as they are while one placer lives. */
+struct scheduler_settings
+{
+    std::uint64_t epoch = 1;      //!< of this placer; higher than any before
+    milliseconds lease{6000};     //!< that a look gives a worker's runs
+    milliseconds look_wait{1000}; //!< a look waits this long for an end
+    milliseconds resend{150};     //!< between tries of an unanswered order
+    int tries = 3;                //!< of a start before it is called off
+    milliseconds save_pause{60};  //!< between saves, to gather changes
+};
+
+struct scheduler;
+
+struct scheduler_deleter
+{
+    void operator()(scheduler* owned) const;
+};
+
+using scheduler_ptr = std::unique_ptr<scheduler, scheduler_deleter>;
+
+scheduler_ptr make_scheduler(scheduler_settings const& settings, instant now);
+
+/** Decides on one event. */
+std::vector<effect> step(scheduler& state, event const& happened);
+
+/** The job's state as stored; none: the job isn't known. */
+std::optional<job_state> state_of(scheduler const& state,
+                                  std::string const& job);
+
+/** What entry daemons need to know of the load. */
+struct load_report
+{
+    std::map<std::string, int> pending; //!< by queue: no task has started
+    std::vector<milliseconds> wait;     //!< by priority: until its turn
+    bool settled = false;               //!< every worker's runs are known
+};
+
+load_report load_of(scheduler const& state);
+
+/** Room and runs of a worker, for tests and operators. */
+struct worker_use
+{
+    resources used;
+    int runs = 0;
+    bool usable = false;
+
+    bool operator==(worker_use const&) const = default;
+};
+
+std::optional<worker_use> use_of(scheduler const& state,
+                                 std::string const& worker);
+
+// ---- admission -----------------------------------------------------------
+
+/** Whether an entry daemon takes a job in. */
+struct admission
+{
+    bool accepted = true;
+    milliseconds retry_after{0}; //!< if it isn't
+
+    bool operator==(admission const&) const = default;
+};
+
+/**
+ * Refuses a job whose objective has passed before its turn would come. Load:
+ * bursts beyond the fleet's capacity.
+ */
+admission admit(job const& given, std::vector<milliseconds> const& wait);
+
+} // namespace cicada::batch
--- /dev/null
+++ b/libs/batch/src/admission.cpp
@@ -0,0 +1,148 @@
+#include "state.hpp"
+
+#include <algorithm>
+
+namespace cicada::batch
+{
+
+namespace
+{
+
+constexpr std::size_t priorities = 4;    //!< told apart in the report
+constexpr double usable_share = 0.85;    //!< of the cores, when packed
+constexpr milliseconds least_retry{500}; //!< Retry-After
+constexpr milliseconds longest_retry{10'000};
+
+/** Core-milliseconds of tasks that wait, here or for earlier steps. */
+double waiting_work(job_record const& j)
+{
+    double sum = 0.0;
+    for (std::size_t i = 0; i < j.steps.size(); ++i)
+    {
+        task_step const& shape = j.accepted.steps[i];
+        sum += static_cast<double>(j.steps[i].waiting) *
+               static_cast<double>(shape.estimate.count()) *
+               static_cast<double>(shape.size.milli_cores) / 1000.0;
+    }
+    return sum;
+}
+
+/** How long after it is handed in the job may start and be in time. */
+milliseconds patience(job const& given)
+{
+    milliseconds const chain = longest_chain(given);
+    return given.queue.target + milliseconds(static_cast<std::int64_t>(
+                                    static_cast<double>(chain.count()) *
+                                    (given.queue.slack_factor - 1.0)));
+}
+
+} // namespace
+
+milliseconds longest_chain(job const& given)
+{
+    std::vector<milliseconds> ends;
+    milliseconds longest{0};
+    for (task_step const& step : given.steps)
+    {
+        milliseconds begin{0};
+        for (int earlier : step.after)
+        {
+            begin = std::max(begin, ends[static_cast<std::size_t>(earlier)]);
+        }
+        ends.push_back(begin + step.estimate);
+        longest = std::max(longest, ends.back());
+    }
+    return longest;
+}
+
+std::string check_job(job const& given)
+{
+    constexpr std::size_t most_steps = 64;
+    constexpr int most_tasks = 5000;        //!< of one step
+    constexpr std::size_t most_spec = 4000; //!< bytes
+    if (given.steps.empty() || given.steps.size() > most_steps)
+    {
+        return "a job has 1 to 64 steps";
+    }
+    if (given.spec.size() > most_spec)
+    {
+        return "the spec is longer than 4000 bytes";
+    }
+    for (std::size_t i = 0; i < given.steps.size(); ++i)
+    {
+        task_step const& step = given.steps[i];
+        if (step.count < 1 || step.count > most_tasks)
+        {
+            return "a step has 1 to 5000 tasks";
+        }
+        if (!non_negative(step.size) || step.estimate.count() < 0)
+        {
+            return "sizes and estimates are not negative";
+        }
+        for (int earlier : step.after)
+        {
+            if (earlier < 0 || earlier >= static_cast<int>(i))
+            {
+                return "a step follows only earlier steps";
+            }
+        }
+    }
+    return "";
+}
+
+load_report load_of(scheduler const& state)
+{
+    load_report report;
+    report.settled = state.settled;
+    double cores = 0.0;
+    for (auto const& entry : state.workers)
+    {
+        if (usable(state, entry.second))
+        {
+            cores +=
+                static_cast<double>(entry.second.offer.capacity.milli_cores) /
+                1000.0;
+        }
+    }
+    std::vector<double> work(priorities, 0.0);
+    for (std::string const& id : state.live)
+    {
+        job_record const& j = state.jobs.at(id);
+        if (!j.begun)
+        {
+            report.pending[j.accepted.queue.name] += 1;
+        }
+        std::size_t const at = std::min<std::size_t>(
+            priorities - 1,
+            static_cast<std::size_t>(std::max(0, j.accepted.queue.priority)));
+        for (std::size_t lower = at; lower < priorities; ++lower)
+        {
+            work[lower] += waiting_work(j);
+        }
+    }
+    for (double each : work)
+    {
+        double const wait = cores > 0.0 ? each / (cores * usable_share) : 0.0;
+        report.wait.emplace_back(static_cast<std::int64_t>(wait));
+    }
+    return report;
+}
+
+admission admit(job const& given, std::vector<milliseconds> const& wait)
+{
+    if (wait.empty())
+    {
+        return {};
+    }
+    std::size_t const at =
+        std::min(wait.size() - 1,
+                 static_cast<std::size_t>(std::max(0, given.queue.priority)));
+    milliseconds const over = wait[at] - patience(given);
+    if (over.count() <= 0)
+    {
+        return {};
+    }
+    return {false, std::clamp(over, least_retry, longest_retry)};
+}
+
+} // namespace cicada::batch
--- /dev/null
+++ b/libs/batch/src/batch.cpp
@@ -0,0 +1,172 @@
+#include "state.hpp"
+
+#include <algorithm>
+
+namespace cicada::batch
+{
+
+namespace
+{
+
+struct dispatcher
+{
+    scheduler& s;
+
+    void operator()(time_passed const&) const
+    {
+        lapse_workers(this->s);
+    }
+
+    void operator()(worker_listed const& given) const
+    {
+        list_worker(this->s, given.offer);
+    }
+
+    void operator()(worker_unlisted const& given) const
+    {
+        unlist_worker(this->s, given.worker);
+    }
+
+    void operator()(workers_complete const&) const
+    {
+        this->s.listed_all = true;
+    }
+
+    void operator()(job_stored const& given) const
+    {
+        take_job(this->s, given);
+    }
+
+    void operator()(cancel_stored const& given) const
+    {
+        cancel_job(this->s, given.job);
+    }
+
+    void operator()(look_answered const& given) const
+    {
+        take_report(this->s, given);
+    }
+
+    void operator()(look_failed const& given) const
+    {
+        take_look_failure(this->s, given);
+    }
+
+    void operator()(start_answered const& given) const
+    {
+        take_start(this->s, given);
+    }
+
+    void operator()(stop_answered const& given) const
+    {
+        take_stop(this->s, given);
+    }
+
+    void operator()(advice_answered const& given) const
+    {
+        take_advice(this->s, given);
+    }
+
+    void operator()(progress_saved const& given) const
+    {
+        take_saved(this->s, given);
+    }
+
+    void operator()(askers_changed const& given) const
+    {
+        std::map<std::string, asker_record> next;
+        for (std::string const& name : given.askers)
+        {
+            auto const known = this->s.askers.find(name);
+            next[name] =
+                known == this->s.askers.end() ? asker_record{} : known->second;
+        }
+        this->s.askers = std::move(next);
+        this->s.place_wanted = true;
+    }
+};
+
+} // namespace
+
+void log(scheduler& s, int number, std::string detail)
+{
+    s.effects.emplace_back(log_decision{number, std::move(detail)});
+}
+
+std::string to_string(task_ref const& task)
+{
+    return std::to_string(task.step) + "." + std::to_string(task.index);
+}
+
+void scheduler_deleter::operator()(scheduler* owned) const
+{
+    delete owned;
+}
+
+scheduler_ptr make_scheduler(scheduler_settings const& settings, instant now)
+{
+    scheduler_ptr made(new scheduler);
+    made->settings = settings;
+    made->now = now;
+    made->began = now;
+    return made;
+}
+
+std::vector<effect> step(scheduler& state, event const& happened)
+{
+    state.now = std::max(state.now, happened.at);
+    if (!state.over)
+    {
+        std::visit(dispatcher{state}, happened.body);
+    }
+    if (!state.over)
+    {
+        repeat_orders(state);
+        place_tasks(state);
+        save_changes(state);
+        look_at_workers(state);
+    }
+    std::vector<effect> out;
+    out.swap(state.effects);
+    return out;
+}
+
+std::optional<job_state> state_of(scheduler const& state,
+                                  std::string const& job)
+{
+    auto const found = state.jobs.find(job);
+    return found == state.jobs.end()
+               ? std::nullopt
+               : std::optional<job_state>(found->second.stored_state);
+}
+
+std::optional<worker_use> use_of(scheduler const& state,
+                                 std::string const& worker)
+{
+    auto const found = state.workers.find(worker);
+    if (found == state.workers.end())
+    {
+        return std::nullopt;
+    }
+    worker_record const& w = found->second;
+    return worker_use{
+        w.used, static_cast<int>(w.runs.size()), usable(state, w)};
+}
+
+queue_rule const* find_queue(cell_config const& config,
+                             std::string const& host,
+                             std::string const& path)
+{
+    queue_rule const* best = nullptr;
+    for (queue_rule const& each : config.queues)
+    {
+        if (each.host == host && path.rfind(each.prefix, 0) == 0 &&
+            (best == nullptr || best->prefix.size() < each.prefix.size()))
+        {
+            best = &each;
+        }
+    }
+    return best;
+}
+
+} // namespace cicada::batch
--- /dev/null
+++ b/libs/batch/src/jobs.cpp
@@ -0,0 +1,263 @@
+#include "state.hpp"
+
+#include <algorithm>
+
+namespace cicada::batch
+{
+
+bool is_over(job_state state)
+{
+    return state == job_state::completed || state == job_state::failed ||
+           state == job_state::cancelled;
+}
+
+bool step_ready(job_record const& j, std::size_t step)
+{
+    std::vector<int> const& after = j.accepted.steps[step].after;
+    return std::all_of(after.begin(),
+                       after.end(),
+                       [&j](int earlier)
+                       {
+                           step_record const& e =
+                               j.steps[static_cast<std::size_t>(earlier)];
+                           return e.done == static_cast<int>(e.tasks.size());
+                       });
+}
+
+task_record* find_task(scheduler& s, task_ref const& task)
+{
+    auto const found = s.jobs.find(task.job);
+    if (found == s.jobs.end() || task.step < 0 || task.index < 0 ||
+        task.step >= static_cast<int>(found->second.steps.size()))
+    {
+        return nullptr;
+    }
+    step_record& step =
+        found->second.steps[static_cast<std::size_t>(task.step)];
+    return task.index < static_cast<int>(step.tasks.size())
+               ? &step.tasks[static_cast<std::size_t>(task.index)]
+               : nullptr;
+}
+
+void mark_changed(scheduler& s, job_record& j)
+{
+    s.changes += 1;
+    s.unsaved.emplace(j.accepted.id, s.changes);
+}
+
+namespace
+{
+
+void count_tasks(step_record& step)
+{
+    step.waiting = 0;
+    step.placed = 0;
+    step.done = 0;
+    for (task_record const& task : step.tasks)
+    {
+        step.waiting += task.phase == task_phase::waiting ? 1 : 0;
+        step.placed += task.phase == task_phase::placed ? 1 : 0;
+        step.done += task.phase == task_phase::done ? 1 : 0;
+    }
+}
+
+void restore(job_record& j, job_progress const& progress)
+{
+    j.state = progress.state;
+    j.stored_state = progress.state;
+    j.begun = progress.state != job_state::queued;
+    for (std::size_t i = 0; i < j.steps.size() && i < progress.done.size(); ++i)
+    {
+        step_record& step = j.steps[i];
+        for (std::size_t k = 0;
+             k < step.tasks.size() && k < progress.done[i].size();
+             ++k)
+        {
+            step.tasks[k].phase =
+                progress.done[i][k] ? task_phase::done : task_phase::waiting;
+            step.tasks[k].failures = progress.failures[i][k];
+        }
+        count_tasks(step);
+    }
+}
+
+void end_job(scheduler& s, job_record& j, job_state state)
+{
+    j.state = state;
+    mark_changed(s, j);
+    s.live.erase(j.accepted.id);
+    for (std::size_t i = 0; i < j.steps.size(); ++i)
+    {
+        step_record& step = j.steps[i];
+        for (std::size_t k = 0; k < step.tasks.size(); ++k)
+        {
+            task_record const& task = step.tasks[k];
+            auto const w = s.workers.find(task.worker);
+            if (task.phase == task_phase::placed && w != s.workers.end())
+            {
+                call_off(
+                    s,
+                    w->second,
+                    {j.accepted.id, static_cast<int>(i), static_cast<int>(k)});
+            }
+        }
+        step.advice.clear();
+    }
+    s.place_wanted = true;
+}
+
+void complete_if_done(scheduler& s, job_record& j)
+{
+    bool const all =
+        std::all_of(j.steps.begin(),
+                    j.steps.end(),
+                    [](step_record const& step)
+                    {
+                        return step.done == static_cast<int>(step.tasks.size());
+                    });
+    if (all && !is_over(j.state))
+    {
+        end_job(s, j, job_state::completed);
+        log(s, 601, "job=" + j.accepted.id + " outcome=completed");
+    }
+}
+
+} // namespace
+
+void take_job(scheduler& s, job_stored const& given)
+{
+    bool const of_successor = given.accepted.epoch > s.settings.epoch;
+    if (s.jobs.count(given.accepted.id) != 0 || of_successor)
+    {
+        return;
+    }
+    job_record& j = s.jobs[given.accepted.id];
+    j.accepted = given.accepted;
+    j.adopted = given.accepted.epoch < s.settings.epoch;
+    j.arrived = s.now;
+    j.chain = longest_chain(j.accepted);
+    j.objective = s.now + j.accepted.queue.target +
+                  milliseconds(static_cast<std::int64_t>(
+                      static_cast<double>(j.chain.count()) *
+                      j.accepted.queue.slack_factor));
+    j.next_run = s.settings.epoch * runs_per_epoch + 1;
+    for (task_step const& step : j.accepted.steps)
+    {
+        step_record record;
+        record.tasks.resize(static_cast<std::size_t>(step.count));
+        count_tasks(record);
+        j.steps.push_back(std::move(record));
+    }
+    if (given.progress)
+    {
+        restore(j, *given.progress);
+    }
+    if (!is_over(j.state))
+    {
+        s.live.insert(j.accepted.id);
+        s.place_wanted = true;
+    }
+    log(s,
+        600,
+        "job=" + j.accepted.id + " queue=" + j.accepted.queue.name +
+            " adopted=" + (j.adopted ? "yes" : "no"));
+    if (s.cancelled_early.erase(j.accepted.id) != 0)
+    {
+        cancel_job(s, j.accepted.id);
+    }
+}
+
+void cancel_job(scheduler& s, std::string const& id)
+{
+    auto const found = s.jobs.find(id);
+    if (found == s.jobs.end())
+    {
+        s.cancelled_early.insert(id);
+        return;
+    }
+    if (!is_over(found->second.state))
+    {
+        end_job(s, found->second, job_state::cancelled);
+        log(s, 601, "job=" + id + " outcome=cancelled");
+    }
+}
+
+void finish_task(scheduler& s, task_ref const& task)
+{
+    task_record* const record = find_task(s, task);
+    if (record == nullptr || record->phase == task_phase::done)
+    {
+        return;
+    }
+    job_record& j = s.jobs.at(task.job);
+    step_record& step = j.steps[static_cast<std::size_t>(task.step)];
+    record->phase = task_phase::done;
+    record->checkpoint.clear();
+    count_tasks(step);
+    mark_changed(s, j);
+    s.place_wanted = true;
+    complete_if_done(s, j);
+}
+
+void fail_task(scheduler& s, task_ref const& task, std::uint64_t run)
+{
+    task_record* const record = find_task(s, task);
+    if (record == nullptr || record->phase == task_phase::done)
+    {
+        return;
+    }
+    job_record& j = s.jobs.at(task.job);
+    record->failures += 1;
+    mark_changed(s, j);
+    log(s,
+        610,
+        "job=" + task.job + " task=" + to_string(task) +
+            " run=" + std::to_string(run) +
+            " failures=" + std::to_string(record->failures) +
+            " of=" + std::to_string(j.accepted.queue.max_attempts));
+    if (record->failures >= j.accepted.queue.max_attempts && !is_over(j.state))
+    {
+        end_job(s, j, job_state::failed);
+        log(s, 601, "job=" + task.job + " outcome=failed");
+    }
+}
+
+void free_task(scheduler& s,
+               task_ref const& task,
+               std::uint64_t run,
+               std::string const& checkpoint)
+{
+    task_record* const record = find_task(s, task);
+    if (record == nullptr || record->phase != task_phase::placed ||
+        record->run != run)
+    {
+        return;
+    }
+    job_record& j = s.jobs.at(task.job);
+    record->phase = task_phase::waiting;
+    record->worker.clear();
+    if (!checkpoint.empty())
+    {
+        record->checkpoint = checkpoint;
+    }
+    step_record& step = j.steps[static_cast<std::size_t>(task.step)];
+    count_tasks(step);
+    s.place_wanted = true;
+    if (!j.accepted.steps[static_cast<std::size_t>(task.step)].gang)
+    {
+        return;
+    }
+    // A gang works only whole: what is left of this run is called off.
+    for (std::size_t k = 0; k < step.tasks.size(); ++k)
+    {
+        task_record const& member = step.tasks[k];
+        auto const w = s.workers.find(member.worker);
+        if (member.phase == task_phase::placed && member.run == run &&
+            w != s.workers.end())
+        {
+            call_off(s, w->second, {task.job, task.step, static_cast<int>(k)});
+        }
+    }
+}
+
+} // namespace cicada::batch
--- /dev/null
+++ b/libs/batch/src/orders.cpp
@@ -0,0 +1,252 @@
+#include "state.hpp"
+
+namespace cicada::batch
+{
+
+namespace
+{
+
+void send_start(scheduler& s,
+                worker_record& w,
+                task_ref const& task,
+                run_record& r)
+{
+    job_record const& j = s.jobs.at(task.job);
+    start_task order;
+    order.worker = w.offer.id;
+    order.where = w.offer.where;
+    order.task = task;
+    order.run = r.run;
+    order.token = w.token;
+    order.spec = j.accepted.spec;
+    order.checkpoint = r.checkpoint;
+    order.ticket = r.ticket;
+    order.lease_until = lease_deadline(s, w);
+    r.calling = true;
+    r.tries += 1;
+    s.effects.emplace_back(std::move(order));
+}
+
+void send_stop(scheduler& s,
+               worker_record& w,
+               task_ref const& task,
+               run_record& r)
+{
+    stop_task order;
+    order.worker = w.offer.id;
+    order.where = w.offer.where;
+    order.task = task;
+    order.run = r.run;
+    order.token = w.token;
+    r.calling = true;
+    s.effects.emplace_back(std::move(order));
+}
+
+run_record* find_run(scheduler& s,
+                     std::string const& worker,
+                     task_ref const& task,
+                     std::uint64_t run)
+{
+    auto const w = s.workers.find(worker);
+    if (w == s.workers.end())
+    {
+        return nullptr;
+    }
+    auto const found = w->second.runs.find(task);
+    return found != w->second.runs.end() && found->second.run == run
+               ? &found->second
+               : nullptr;
+}
+
+/** Another placer has taken over, unless the token was replaced since. */
+void take_fence(scheduler& s, std::string const& worker, std::uint64_t token)
+{
+    auto const w = s.workers.find(worker);
+    if (w != s.workers.end() && w->second.token == token)
+    {
+        s.over = true;
+        s.effects.emplace_back(give_up_placing{});
+    }
+}
+
+/** The start didn't happen: frees it, or makes sure that it never does. */
+void undo_start(scheduler& s,
+                worker_record& w,
+                task_ref const& task,
+                run_record& r)
+{
+    if (r.doubtful)
+    {
+        call_off(s, w, task);
+        return;
+    }
+    std::uint64_t const run = r.run;
+    std::string const checkpoint = r.checkpoint;
+    release_run(s, w, task);
+    free_task(s, task, run, checkpoint);
+}
+
+} // namespace
+
+void start_run(scheduler& s,
+               worker_record& w,
+               job_record& j,
+               task_ref const& task,
+               std::uint64_t run,
+               std::string const& ticket)
+{
+    std::size_t const at = static_cast<std::size_t>(task.step);
+    task_step const& shape = j.accepted.steps[at];
+    step_record& step = j.steps[at];
+    task_record& record = step.tasks[static_cast<std::size_t>(task.index)];
+    record.phase = task_phase::placed;
+    record.worker = w.offer.id;
+    record.run = run;
+    step.waiting -= 1;
+    step.placed += 1;
+    step.gang_run = run;
+    if (!j.begun)
+    {
+        j.begun = true;
+        j.state = job_state::running;
+        j.stored_state = job_state::running;
+    }
+    run_record r;
+    r.run = run;
+    r.size = shape.size;
+    r.started = s.now;
+    r.expected_end = s.now + shape.estimate;
+    r.ticket = ticket;
+    r.checkpoint = record.checkpoint;
+    w.used = w.used + r.size;
+    run_record& kept = w.runs[task] = r;
+    log(s,
+        605,
+        "job=" + task.job + " task=" + to_string(task) +
+            " run=" + std::to_string(run) + " worker=" + w.offer.id +
+            " report_age_ms=" + std::to_string((s.now - w.clock_at).count()));
+    send_start(s, w, task, kept);
+}
+
+void call_off(scheduler& s, worker_record& w, task_ref const& task)
+{
+    auto const found = w.runs.find(task);
+    if (found == w.runs.end())
+    {
+        return;
+    }
+    run_record& r = found->second;
+    if (r.phase == run_phase::stopping)
+    {
+        return;
+    }
+    r.phase = run_phase::stopping;
+    send_stop(s, w, task, r);
+}
+
+void take_start(scheduler& s, start_answered const& answer)
+{
+    run_record* const r = find_run(s, answer.worker, answer.task, answer.run);
+    if (answer.outcome == order_outcome::fenced)
+    {
+        take_fence(s, answer.worker, answer.token);
+    }
+    if (r == nullptr)
+    {
+        return;
+    }
+    worker_record& w = s.workers.at(answer.worker);
+    if (answer.outcome == order_outcome::unknown)
+    {
+        r->doubtful = true;
+    }
+    if (r->phase == run_phase::stopping)
+    {
+        return;
+    }
+    r->calling = false;
+    if (r->phase == run_phase::running)
+    {
+        return;
+    }
+    switch (answer.outcome)
+    {
+    case order_outcome::done:
+        r->phase = run_phase::running;
+        r->started = s.now;
+        return;
+    case order_outcome::unknown:
+        if (r->tries >= s.settings.tries)
+        {
+            call_off(s, w, answer.task);
+            return;
+        }
+        r->next_try = s.now + s.settings.resend;
+        return;
+    case order_outcome::busy:
+        w.avoid_until = s.now + s.settings.look_wait;
+        break;
+    case order_outcome::fenced:
+    case order_outcome::refused:
+    case order_outcome::other_life:
+        break;
+    }
+    log(s,
+        613,
+        "job=" + answer.task.job + " task=" + to_string(answer.task) +
+            " run=" + std::to_string(answer.run) + " worker=" + answer.worker +
+            " outcome=" + std::to_string(static_cast<int>(answer.outcome)));
+    undo_start(s, w, answer.task, *r);
+}
+
+void take_stop(scheduler& s, stop_answered const& answer)
+{
+    if (answer.outcome == order_outcome::fenced)
+    {
+        take_fence(s, answer.worker, answer.token);
+    }
+    run_record* const r = find_run(s, answer.worker, answer.task, answer.run);
+    if (r == nullptr)
+    {
+        return;
+    }
+    r->calling = false;
+    if (answer.outcome == order_outcome::done)
+    {
+        r->stop_done = s.now;
+        // Its end is read with the next look.
+        s.workers.at(answer.worker).next_look = s.now;
+        return;
+    }
+    r->next_try = s.now + s.settings.resend;
+}
+
+void repeat_orders(scheduler& s)
+{
+    for (auto& entry : s.workers)
+    {
+        worker_record& w = entry.second;
+        if (!w.known)
+        {
+            continue;
+        }
+        for (auto& run : w.runs)
+        {
+            run_record& r = run.second;
+            if (r.calling || r.next_try > s.now || r.stop_done)
+            {
+                continue;
+            }
+            if (r.phase == run_phase::starting)
+            {
+                send_start(s, w, run.first, r);
+            }
+            else if (r.phase == run_phase::stopping)
+            {
+                send_stop(s, w, run.first, r);
+            }
+        }
+    }
+}
+
+} // namespace cicada::batch
--- /dev/null
+++ b/libs/batch/src/state.hpp
@@ -0,0 +1,215 @@
+#pragma once
+
+#include "batch/batch.hpp"
+
+#include <deque>
+#include <set>
+
+namespace cicada::batch
+{
+
+constexpr milliseconds clock_margin{250}; //!< added to a lease's end
+constexpr double slow_clock = 1.02;       //!< workers' clocks: 2% slow at most
+constexpr std::uint64_t runs_per_epoch = 4096;
+constexpr std::uint64_t lives_per_epoch = 1024;
+
+enum class run_phase
+{
+    starting, //!< ordered, not answered
+    running,
+    stopping //!< to be called off; a stop is sent until its end is known
+};
+
+/** A run that takes room on a worker, from the order until its known end. */
+struct run_record
+{
+    std::uint64_t run = 0;
+    resources size;
+    run_phase phase = run_phase::starting;
+    bool doubtful = false; //!< a start is unanswered and may come late
+    bool calling = false;  //!< an order is on its way
+    int tries = 0;
+    instant next_try;
+    instant started;
+    instant expected_end;
+    std::optional<instant> stop_done; //!< the worker refuses the run since
+    std::string ticket;
+    std::string checkpoint;
+};
+
+struct worker_record
+{
+    worker_offer offer;
+    bool listed = true;
+    bool known = false; //!< has answered this token in this life
+    std::int64_t life = 0;
+    std::uint64_t lives = 0; //!< seen by this placer
+    std::uint64_t token = 0;
+    bool looking = false;
+    instant next_look;
+    std::int64_t clock_ms = 0; //!< of its last answer
+    instant clock_at;
+    instant lease_end;           //!< nothing runs past it unless it is extended
+    std::uint64_t processed = 0; //!< ends taken in
+    std::uint64_t acknowledged = 0; //!< ends that are stored
+    std::deque<std::pair<std::uint64_t, std::uint64_t>>
+        unsaved; //!< end, change
+    instant avoid_until;
+    int failures = 0; //!< on end, of tasks
+    resources used;
+    std::map<task_ref, run_record> runs;
+};
+
+enum class task_phase
+{
+    waiting,
+    placed,
+    done
+};
+
+struct task_record
+{
+    task_phase phase = task_phase::waiting;
+    int failures = 0;
+    std::string checkpoint;
+    std::string worker; //!< while placed
+    std::uint64_t run = 0;
+};
+
+/** What the advisor said of one worker for one step; it doesn't change. */
+struct advice_record
+{
+    bool allowed = false;
+    std::string ticket;
+    instant valid_until;
+    std::int64_t life = 0;
+};
+
+struct step_record
+{
+    std::vector<task_record> tasks;
+    int waiting = 0;
+    int placed = 0;
+    int done = 0;
+    std::uint64_t gang_run = 0;
+    std::map<std::string, advice_record> advice; //!< by worker
+    std::uint64_t asking = 0; //!< the call on its way; 0: none
+    instant next_ask;
+};
+
+struct job_record
+{
+    job accepted;
+    job_state state = job_state::queued;        //!< as decided
+    job_state stored_state = job_state::queued; //!< as callers are shown
+    std::vector<step_record> steps;
+    bool adopted = false; //!< an earlier placer may have started tasks
+    bool begun = false;
+    instant arrived;
+    instant objective; //!< shown as completed by then, it is in time
+    milliseconds chain{0};
+    std::uint64_t next_run = 1;
+    std::uint64_t change = 0; //!< first unsaved; 0: none
+};
+
+struct asker_record
+{
+    instant free_at;
+    int calls = 0;
+};
+
+} // namespace cicada::batch
+
+namespace cicada::batch
+{
+
+struct scheduler
+{
+    scheduler_settings settings;
+    instant now;
+    instant began;
+    bool listed_all = false;
+    bool settled = false;
+    bool over = false;
+    std::map<std::string, worker_record> workers;
+    std::map<std::string, job_record> jobs;
+    std::set<std::string> cancelled_early; //!< before the job was known
+    std::set<std::string> live;            //!< jobs that aren't over
+    std::map<std::string, asker_record> askers;
+    std::uint64_t advice_calls = 0;
+    std::uint64_t changes = 0;
+    std::map<std::string, std::uint64_t> unsaved; //!< job to its first change
+    std::map<std::string, std::uint64_t> saving;
+    std::map<std::string, job_state> saving_state;
+    std::uint64_t save = 0; //!< in flight; 0: none
+    std::uint64_t saves = 0;
+    instant next_save;
+    bool place_wanted = false;
+    std::vector<effect> effects;
+};
+
+// ---- jobs.cpp
+
+void take_job(scheduler& s, job_stored const& given);
+void cancel_job(scheduler& s, std::string const& id);
+void mark_changed(scheduler& s, job_record& j);
+void finish_task(scheduler& s, task_ref const& task);
+void fail_task(scheduler& s, task_ref const& task, std::uint64_t run);
+/** The task has no run any more and waits again, unless it is done. */
+void free_task(scheduler& s,
+               task_ref const& task,
+               std::uint64_t run,
+               std::string const& checkpoint);
+bool step_ready(job_record const& j, std::size_t step);
+bool is_over(job_state state);
+task_record* find_task(scheduler& s, task_ref const& task);
+
+// ---- workers.cpp
+
+void list_worker(scheduler& s, worker_offer const& offer);
+void unlist_worker(scheduler& s, std::string const& id);
+void take_report(scheduler& s, look_answered const& answer);
+void take_look_failure(scheduler& s, look_failed const& failure);
+void look_at_workers(scheduler& s);
+void lapse_workers(scheduler& s);
+bool usable(scheduler const& s, worker_record const& w);
+std::int64_t lease_deadline(scheduler& s, worker_record& w);
+/** Frees the room of a run. */
+void release_run(scheduler& s, worker_record& w, task_ref const& task);
+
+// ---- orders.cpp
+
+void start_run(scheduler& s,
+               worker_record& w,
+               job_record& j,
+               task_ref const& task,
+               std::uint64_t run,
+               std::string const& ticket);
+void call_off(scheduler& s, worker_record& w, task_ref const& task);
+void take_start(scheduler& s, start_answered const& answer);
+void take_stop(scheduler& s, stop_answered const& answer);
+void repeat_orders(scheduler& s);
+
+// ---- placing.cpp
+
+void place_tasks(scheduler& s);
+
+// ---- advice.cpp
+
+/** Asks for the workers named, unless every asker is too busy. */
+void seek_advice(scheduler& s,
+                 job_record& j,
+                 int step,
+                 std::vector<std::string> const& workers);
+void take_advice(scheduler& s, advice_answered const& answer);
+
+// ---- saving.cpp
+
+void save_changes(scheduler& s);
+void take_saved(scheduler& s, progress_saved const& outcome);
+void acknowledge_ends(scheduler& s);
+
+void log(scheduler& s, int number, std::string detail);
+std::string to_string(task_ref const& task);
+
+} // namespace cicada::batch
--- /dev/null
+++ b/libs/batch/src/workers.cpp
@@ -0,0 +1,388 @@
+#include "state.hpp"
+
+#include <algorithm>
+
+namespace cicada::batch
+{
+
+namespace
+{
+
+constexpr milliseconds look_pause{40}; //!< gathers ends into one answer
+constexpr milliseconds failed_look_pause{200};
+constexpr milliseconds unhealthy_pause{1000}; //!< per failure on end
+constexpr int most_failures_counted = 5;
+
+void begin_life(scheduler& s, worker_record& w, std::int64_t born)
+{
+    w.life = born;
+    w.lives += 1;
+    w.token = s.settings.epoch * lives_per_epoch + w.lives;
+    w.known = false;
+    w.processed = 0;
+    w.acknowledged = 0;
+    w.unsaved.clear();
+    w.clock_ms = 0;
+    w.lease_end = s.now;
+}
+
+/** Nothing of this worker's runs is left. */
+void lose_runs(scheduler& s, worker_record& w, std::string const& why)
+{
+    while (!w.runs.empty())
+    {
+        task_ref const task = w.runs.begin()->first;
+        run_record const lost = w.runs.begin()->second;
+        log(s,
+            611,
+            "job=" + task.job + " task=" + to_string(task) +
+                " run=" + std::to_string(lost.run) + " worker=" + w.offer.id +
+                " why=" + why);
+        release_run(s, w, task);
+        free_task(s, task, lost.run, lost.checkpoint);
+    }
+}
+
+/** Takes in a run that an earlier placer, or a late order, has started. */
+void adopt_run(scheduler& s, worker_record& w, active_run const& seen)
+{
+    task_record* const task = find_task(s, seen.task);
+    run_record record;
+    record.run = seen.run;
+    record.phase = run_phase::running;
+    record.started = s.now;
+    record.checkpoint = seen.checkpoint;
+    bool wanted = false;
+    if (task != nullptr)
+    {
+        job_record& j = s.jobs.at(seen.task.job);
+        task_step const& step =
+            j.accepted.steps[static_cast<std::size_t>(seen.task.step)];
+        record.size = step.size;
+        record.expected_end = s.now + step.estimate;
+        step_record& of = j.steps[static_cast<std::size_t>(seen.task.step)];
+        bool const same_gang = !step.gang || of.gang_run == 0 ||
+                               of.gang_run == seen.run || of.placed == 0;
+        wanted = !is_over(j.state) && task->phase == task_phase::waiting &&
+                 same_gang;
+        if (wanted)
+        {
+            task->phase = task_phase::placed;
+            task->worker = w.offer.id;
+            task->run = seen.run;
+            of.waiting -= 1;
+            of.placed += 1;
+            of.gang_run = seen.run;
+            j.begun = true;
+        }
+    }
+    w.used = w.used + record.size;
+    w.runs[seen.task] = record;
+    if (!wanted)
+    {
+        call_off(s, w, seen.task);
+    }
+}
+
+void take_active(scheduler& s, worker_record& w, active_run const& seen)
+{
+    auto const found = w.runs.find(seen.task);
+    if (found == w.runs.end())
+    {
+        adopt_run(s, w, seen);
+        return;
+    }
+    run_record& record = found->second;
+    if (record.run != seen.run)
+    {
+        return;
+    }
+    if (record.phase == run_phase::starting)
+    {
+        record.phase = run_phase::running;
+        record.started = s.now;
+    }
+    record.checkpoint = seen.checkpoint;
+}
+
+void take_end(scheduler& s, worker_record& w, finished_run const& end)
+{
+    auto const found = w.runs.find(end.task);
+    bool const held = found != w.runs.end() && found->second.run == end.run;
+    if (held)
+    {
+        release_run(s, w, end.task);
+    }
+    task_record* const task = find_task(s, end.task);
+    if (task == nullptr)
+    {
+        return;
+    }
+    bool const current =
+        task->phase == task_phase::placed && task->run == end.run;
+    job_record& j = s.jobs.at(end.task.job);
+    task_step const& shape =
+        j.accepted.steps[static_cast<std::size_t>(end.task.step)];
+    if (end.how == run_end::done)
+    {
+        w.failures = 0;
+        // A newer run elsewhere started only after this life's lease lapsed.
+        if (!current && task->phase != task_phase::waiting)
+        {
+            return;
+        }
+        finish_task(s, end.task);
+        step_record& step = j.steps[static_cast<std::size_t>(end.task.step)];
+        for (std::size_t k = 0; shape.gang && k < step.tasks.size(); ++k)
+        {
+            finish_task(s, {end.task.job, end.task.step, static_cast<int>(k)});
+        }
+        return;
+    }
+    if (end.how == run_end::failed && task->phase != task_phase::done)
+    {
+        w.failures = std::min(w.failures + 1, most_failures_counted);
+        if (w.failures > 1)
+        {
+            w.avoid_until = s.now + unhealthy_pause * w.failures;
+        }
+        fail_task(s, end.task, end.run);
+    }
+    free_task(s, end.task, end.run, end.checkpoint);
+}
+
+/** Runs that the report should have had and has not are gone. */
+void drop_vanished(scheduler& s, worker_record& w, look_answered const& answer)
+{
+    std::set<task_ref> seen;
+    for (active_run const& each : answer.report.active)
+    {
+        seen.insert(each.task);
+    }
+    std::vector<task_ref> gone;
+    for (auto const& entry : w.runs)
+    {
+        run_record const& r = entry.second;
+        bool const settled =
+            (r.phase == run_phase::running && r.started < answer.sent) ||
+            (r.stop_done && *r.stop_done < answer.sent);
+        if (settled && seen.count(entry.first) == 0)
+        {
+            gone.push_back(entry.first);
+        }
+    }
+    for (task_ref const& task : gone)
+    {
+        run_record const record = w.runs.at(task);
+        release_run(s, w, task);
+        free_task(s, task, record.run, record.checkpoint);
+    }
+}
+
+void check_settled(scheduler& s)
+{
+    if (s.settled)
+    {
+        return;
+    }
+    bool const all =
+        std::all_of(s.workers.begin(),
+                    s.workers.end(),
+                    [](auto const& entry)
+                    {
+                        return entry.second.known || !entry.second.listed;
+                    });
+    milliseconds const longest(static_cast<std::int64_t>(
+        static_cast<double>(s.settings.lease.count()) * slow_clock));
+    bool const waited = s.now > s.began + longest + clock_margin;
+    if ((s.listed_all && all) || waited)
+    {
+        s.settled = true;
+        s.place_wanted = true;
+        log(s,
+            213,
+            "epoch=" + std::to_string(s.settings.epoch) +
+                " workers=" + std::to_string(s.workers.size()) +
+                " all_answered=" + (all ? "yes" : "no"));
+    }
+}
+
+} // namespace
+
+void release_run(scheduler& s, worker_record& w, task_ref const& task)
+{
+    auto const found = w.runs.find(task);
+    if (found != w.runs.end())
+    {
+        w.used = w.used - found->second.size;
+        w.runs.erase(found);
+        s.place_wanted = true;
+    }
+}
+
+bool usable(scheduler const& s, worker_record const& w)
+{
+    return w.listed && w.known && !w.offer.draining && w.avoid_until <= s.now &&
+           s.now < w.clock_at + s.settings.look_wait * 2;
+}
+
+std::int64_t lease_deadline(scheduler& s, worker_record& w)
+{
+    milliseconds const since =
+        std::chrono::duration_cast<milliseconds>(s.now - w.clock_at);
+    milliseconds const span = since + s.settings.lease;
+    milliseconds const slow(static_cast<std::int64_t>(
+        static_cast<double>(span.count()) * slow_clock));
+    w.lease_end = std::max(w.lease_end, w.clock_at + slow + clock_margin);
+    return w.clock_ms + span.count();
+}
+
+void list_worker(scheduler& s, worker_offer const& offer)
+{
+    auto const found = s.workers.find(offer.id);
+    if (found == s.workers.end())
+    {
+        worker_record& w = s.workers[offer.id];
+        w.offer = offer;
+        w.next_look = s.now;
+        begin_life(s, w, offer.born);
+        return;
+    }
+    worker_record& w = found->second;
+    if (offer.draining && !w.offer.draining)
+    {
+        log(s, 612, "worker=" + offer.id + " state=draining");
+    }
+    bool const moved = !(w.offer.where == offer.where);
+    std::int64_t const born = offer.born;
+    w.offer = offer;
+    w.listed = true;
+    if (born > w.life)
+    {
+        lose_runs(s, w, "restarted");
+        begin_life(s, w, born);
+    }
+    if (moved)
+    {
+        w.next_look = s.now;
+    }
+    s.place_wanted = true;
+}
+
+void unlist_worker(scheduler& s, std::string const& id)
+{
+    auto const found = s.workers.find(id);
+    if (found != s.workers.end())
+    {
+        found->second.listed = false;
+        log(s, 612, "worker=" + id + " state=unlisted");
+    }
+}
+
+void take_report(scheduler& s, look_answered const& answer)
+{
+    auto const found = s.workers.find(answer.worker);
+    if (found == s.workers.end())
+    {
+        return;
+    }
+    worker_record& w = found->second;
+    w.looking = false;
+    if (answer.report.born < w.life)
+    {
+        w.next_look = s.now + failed_look_pause;
+        return;
+    }
+    w.next_look = s.now + look_pause;
+    if (answer.report.born > w.life)
+    {
+        lose_runs(s, w, "restarted");
+        begin_life(s, w, answer.report.born);
+        w.next_look = s.now;
+        return;
+    }
+    w.clock_ms = answer.report.clock_ms;
+    w.clock_at = s.now;
+    if (answer.token == w.token && !w.known)
+    {
+        w.known = true;
+        w.next_look = s.now;
+        s.place_wanted = true;
+    }
+    for (finished_run const& end : answer.report.finished)
+    {
+        if (end.number <= w.processed)
+        {
+            continue;
+        }
+        w.processed = end.number;
+        take_end(s, w, end);
+        w.unsaved.emplace_back(end.number, s.changes);
+    }
+    for (active_run const& each : answer.report.active)
+    {
+        take_active(s, w, each);
+    }
+    if (!answer.report.more_finished)
+    {
+        drop_vanished(s, w, answer);
+    }
+    acknowledge_ends(s);
+    check_settled(s);
+}
+
+void take_look_failure(scheduler& s, look_failed const& failure)
+{
+    auto const found = s.workers.find(failure.worker);
+    if (found == s.workers.end())
+    {
+        return;
+    }
+    worker_record& w = found->second;
+    w.looking = false;
+    w.next_look = s.now + failed_look_pause;
+    if (failure.why == order_outcome::fenced && failure.token == w.token)
+    {
+        s.over = true;
+        s.effects.emplace_back(give_up_placing{});
+    }
+}
+
+void look_at_workers(scheduler& s)
+{
+    for (auto& entry : s.workers)
+    {
+        worker_record& w = entry.second;
+        if (w.looking || w.next_look > s.now || (!w.listed && w.runs.empty()))
+        {
+            continue;
+        }
+        w.looking = true;
+        look_at look;
+        look.worker = w.offer.id;
+        look.where = w.offer.where;
+        look.token = w.token;
+        look.acknowledged = w.acknowledged;
+        look.wait = w.known ? s.settings.look_wait : milliseconds{0};
+        if (w.known)
+        {
+            look.lease_until = lease_deadline(s, w);
+        }
+        s.effects.emplace_back(std::move(look));
+    }
+}
+
+void lapse_workers(scheduler& s)
+{
+    for (auto& entry : s.workers)
+    {
+        worker_record& w = entry.second;
+        if (!w.runs.empty() && w.lease_end < s.now)
+        {
+            lose_runs(s, w, "lease_lapsed");
+        }
+    }
+    check_settled(s);
+}
+
+} // namespace cicada::batch
--- /dev/null
+++ b/libs/cell/src/entry.cpp
@@ -0,0 +1,443 @@
+#include "entry.hpp"
+
+#include "keys.hpp"
+
+#include <algorithm>
+
+namespace cicada::cell
+{
+
+namespace
+{
+
+/** Jobs in one transaction: each takes a condition and a write of 32. */
+constexpr std::size_t jobs_per_commit = 16;
+constexpr milliseconds gather{4}; //!< about one call to the store
+constexpr milliseconds default_deadline{3000};
+constexpr milliseconds answer_way{40}; //!< kept for the answer's way back
+constexpr milliseconds retry_pause{60};
+/** A store that is known to refuse is tried this long for one job. */
+constexpr milliseconds refused_limit{60};
+constexpr milliseconds placer_limit{300};  //!< for a state; then the store
+constexpr milliseconds load_age{1500};     //!< counts may be 2 s old
+constexpr milliseconds outage_retry{1000}; //!< Retry-After with no store
+constexpr milliseconds unserved_retry{30'000};
+
+http_reply unavailable(std::string const& why)
+{
+    return platform::encode_refusal(503, why, outage_retry);
+}
+
+} // namespace
+
+entry::entry(context& given, entry_ports outside)
+    : shared(given), ports(std::move(outside))
+{
+}
+
+void entry::handle(http_request request, http_answer answer)
+{
+    if (!this->shared.config)
+    {
+        answer(unavailable("no configuration yet"));
+        return;
+    }
+    std::optional<platform::caller_call> const call =
+        platform::decode_call(request, *this->shared.config);
+    if (!call)
+    {
+        answer(platform::encode_refusal(404, "no such queue"));
+        return;
+    }
+    switch (call->verb)
+    {
+    case platform::caller_verb::submit:
+        this->submit(*call, request, std::move(answer));
+        return;
+    case platform::caller_verb::query:
+        this->query(call->job, std::move(answer));
+        return;
+    case platform::caller_verb::cancel:
+        this->cancel(*call, std::move(answer));
+        return;
+    case platform::caller_verb::count:
+        this->count(*call, std::move(answer));
+        return;
+    case platform::caller_verb::readiness:
+    case platform::caller_verb::unsupported:
+        answer(platform::encode_refusal(405, "no such method"));
+        return;
+    }
+}
+
+// ---- jobs
+
+void entry::submit(platform::caller_call const& call,
+                   http_request const& request,
+                   http_answer answer)
+{
+    result<batch::job> read = platform::decode_job(request.body, call);
+    if (!read.has_value())
+    {
+        bool const unserved = read.assume_error().code == error_code::refused;
+        this->shared.write(606,
+                           "job=" + call.job + " queue=" + call.queue.name +
+                               " why=\"" + read.assume_error().message + "\"");
+        answer(unserved ? platform::encode_refusal(
+                              503, read.assume_error().message, unserved_retry)
+                        : platform::encode_refusal(
+                              400, read.assume_error().message));
+        return;
+    }
+    submission given;
+    given.job = std::move(read.assume_value());
+    given.job.epoch = this->placer_epoch;
+    given.record = batch::encode_job(given.job);
+    given.arrived = this->shared.now();
+    given.give_up =
+        given.arrived + call.deadline.value_or(default_deadline) - answer_way;
+    given.answer = std::move(answer);
+    if (this->load_is_fresh() && this->load->settled)
+    {
+        batch::admission const decision =
+            batch::admit(given.job, this->load->wait);
+        if (!decision.accepted)
+        {
+            this->refuse_unless_stored(std::move(given), decision.retry_after);
+            return;
+        }
+    }
+    this->enqueue(std::move(given));
+}
+
+void entry::refuse_unless_stored(submission given, milliseconds retry_after)
+{
+    std::string const key = keys::jobs + given.job.id;
+    auto const kept = std::make_shared<submission>(std::move(given));
+    this->shared.store.get(
+        key,
+        [self = this->shared_from_this(), kept, retry_after](
+            result<platform::kv_item> const& item)
+        {
+            if (item.has_value() && item.assume_value().revision != 0)
+            {
+                kept->answer(platform::encode_accepted());
+                return;
+            }
+            self->shared.write(
+                606,
+                "job=" + kept->job.id + " queue=" + kept->job.queue.name +
+                    " why=overload load_age_ms=" +
+                    std::to_string(
+                        (self->shared.now() - self->load_at).count()) +
+                    " retry_after_ms=" + std::to_string(retry_after.count()));
+            kept->answer(platform::encode_refusal(
+                429, "too much is waiting", retry_after));
+        });
+}
+
+void entry::enqueue(submission given)
+{
+    this->queue.push_back(std::move(given));
+    if (this->committing || this->flush_set)
+    {
+        return;
+    }
+    this->flush_set = true;
+    this->shared.after(gather,
+                       [self = this->shared_from_this()]
+                       {
+                           self->flush_set = false;
+                           self->commit_batch();
+                       });
+}
+
+void entry::commit_batch()
+{
+    if (this->committing || this->queue.empty())
+    {
+        return;
+    }
+    std::vector<submission> sent;
+    platform::kv_transaction change;
+    std::set<std::string> ids;
+    std::deque<submission> later;
+    while (!this->queue.empty())
+    {
+        submission next = std::move(this->queue.front());
+        this->queue.pop_front();
+        if (sent.size() == jobs_per_commit || !ids.insert(next.job.id).second)
+        {
+            later.push_back(std::move(next));
+            continue;
+        }
+        std::string const key = keys::jobs + next.job.id;
+        change.conditions.push_back({key, 0});
+        change.writes.push_back({key, next.record, 0});
+        sent.push_back(std::move(next));
+    }
+    this->queue = std::move(later);
+    this->committing = true;
+    auto const kept =
+        std::make_shared<std::vector<submission>>(std::move(sent));
+    this->shared.store.commit(change,
+                              [self = this->shared_from_this(),
+                               kept](result<platform::kv_committed> const& done)
+                              {
+                                  self->committing = false;
+                                  self->take_commit(std::move(*kept), done);
+                                  self->commit_batch();
+                              });
+}
+
+void entry::take_commit(std::vector<submission> sent,
+                        result<platform::kv_committed> const& done)
+{
+    if (!done.has_value())
+    {
+        for (submission& each : sent)
+        {
+            each.doubtful = each.doubtful ||
+                            done.assume_error().code == error_code::unknown;
+            this->retry(std::move(each), done.assume_error());
+        }
+        return;
+    }
+    this->shared.store_heard = this->shared.now();
+    platform::kv_committed const& outcome = done.assume_value();
+    std::set<std::string> present;
+    for (platform::kv_item const& item : outcome.found)
+    {
+        if (item.revision != 0 && !item.deleted)
+        {
+            present.insert(keys::after(item.key, keys::jobs));
+        }
+    }
+    for (submission& each : sent)
+    {
+        bool const stored = outcome.outcome == platform::kv_commit::committed ||
+                            present.count(each.job.id) != 0;
+        if (stored)
+        {
+            this->accept(each);
+        }
+        else
+        {
+            this->queue.push_front(std::move(each));
+        }
+    }
+}
+
+void entry::retry(submission given, error const& why)
+{
+    instant const now = this->shared.now();
+    bool const known = !given.doubtful;
+    instant const until =
+        known ? std::min(given.give_up, given.arrived + refused_limit)
+              : given.give_up;
+    if (now + retry_pause < until)
+    {
+        auto const kept = std::make_shared<submission>(std::move(given));
+        this->shared.after(retry_pause,
+                           [self = this->shared_from_this(), kept]
+                           {
+                               self->enqueue(std::move(*kept));
+                           });
+        return;
+    }
+    if (known)
+    {
+        this->shared.write(606,
+                           "job=" + given.job.id +
+                               " queue=" + given.job.queue.name +
+                               " why=\"store " + describe(why) + "\"");
+        given.answer(unavailable("the store is away"));
+        return;
+    }
+    this->shared.write(
+        609, "job=" + given.job.id + " why=\"" + describe(why) + "\"");
+    given.answer(platform::encode_refusal(504, "the store did not answer"));
+}
+
+void entry::accept(submission const& given)
+{
+    this->shared.write(
+        607,
+        "job=" + given.job.id + " queue=" + given.job.queue.name + " config=" +
+            std::to_string(this->shared.config->version) + " took_ms=" +
+            std::to_string((this->shared.now() - given.arrived).count()));
+    given.answer(platform::encode_accepted());
+    // If the message is lost, the placer reads the job from the store.
+    this->ports.send_to_placer(job_message{given.record});
+}
+
+// ---- states
+
+void entry::query(std::string const& job, http_answer answer)
+{
+    std::optional<batch::job_state> const own = this->ports.own_state(job);
+    if (own)
+    {
+        answer(platform::encode_state(*own));
+        return;
+    }
+    std::uint64_t const number = this->next_query++;
+    if (!this->ports.send_to_placer(state_query{number, job}))
+    {
+        this->query_store(job, std::move(answer));
+        return;
+    }
+    this->queries[number] = {job, std::move(answer)};
+    this->shared.after(placer_limit,
+                       [self = this->shared_from_this(), number]
+                       {
+                           self->take_state({number, std::nullopt});
+                       });
+}
+
+void entry::take_state(state_reply const& told)
+{
+    auto const found = this->queries.find(told.query);
+    if (found == this->queries.end())
+    {
+        return;
+    }
+    open_query open = std::move(found->second);
+    this->queries.erase(found);
+    if (told.state)
+    {
+        open.answer(platform::encode_state(*told.state));
+        return;
+    }
+    this->query_store(open.job, std::move(open.answer));
+}
+
+void entry::query_store(std::string const& job, http_answer answer)
+{
+    auto self = this->shared_from_this();
+    this->shared.store.get(
+        keys::progress + job,
+        [self, job, answer](result<platform::kv_item> const& item)
+        {
+            if (!item.has_value())
+            {
+                answer(unavailable("the store is away"));
+                return;
+            }
+            if (item.assume_value().revision != 0)
+            {
+                result<batch::job_progress> const read =
+                    batch::decode_progress(item.assume_value().value);
+                answer(read.has_value()
+                           ? platform::encode_state(read.assume_value().state)
+                           : unavailable("the record can't be read"));
+                return;
+            }
+            self->shared.store.get(
+                keys::jobs + job,
+                [answer](result<platform::kv_item> const& stored)
+                {
+                    if (!stored.has_value())
+                    {
+                        answer(unavailable("the store is away"));
+                        return;
+                    }
+                    answer(
+                        stored.assume_value().revision != 0
+                            ? platform::encode_state(batch::job_state::queued)
+                            : platform::encode_refusal(410, "no such job"));
+                });
+        });
+}
+
+// ---- cancellations
+
+void entry::cancel(platform::caller_call const& call, http_answer answer)
+{
+    instant const give_up = this->shared.now() +
+                            call.deadline.value_or(default_deadline) -
+                            answer_way;
+    this->shared.store.get(
+        keys::jobs + call.job,
+        [self = this->shared_from_this(), job = call.job, answer, give_up](
+            result<platform::kv_item> const& item)
+        {
+            if (!item.has_value())
+            {
+                answer(unavailable("the store is away"));
+                return;
+            }
+            if (item.assume_value().revision == 0)
+            {
+                answer(platform::encode_refusal(410, "no such job"));
+                return;
+            }
+            self->store_cancel(job, answer, give_up);
+        });
+}
+
+void entry::store_cancel(std::string const& job,
+                         http_answer answer,
+                         instant give_up)
+{
+    platform::kv_transaction change;
+    change.writes.push_back({keys::cancels + job, "1", 0});
+    this->shared.store.commit(
+        change,
+        [self = this->shared_from_this(), job, answer, give_up](
+            result<platform::kv_committed> const& done)
+        {
+            if (done.has_value())
+            {
+                self->shared.write(608, "job=" + job);
+                self->ports.send_to_placer(cancel_message{job});
+                answer(platform::encode_accepted());
+                return;
+            }
+            if (self->shared.now() + retry_pause < give_up)
+            {
+                self->shared.after(retry_pause,
+                                   [self, job, answer, give_up]
+                                   {
+                                       self->store_cancel(job, answer, give_up);
+                                   });
+                return;
+            }
+            self->shared.write(609,
+                               "job=" + job + " what=cancel why=\"" +
+                                   describe(done.assume_error()) + "\"");
+            answer(platform::encode_refusal(504, "the store did not answer"));
+        });
+}
+
+// ---- counts
+
+void entry::count(platform::caller_call const& call, http_answer answer)
+{
+    if (!this->load_is_fresh())
+    {
+        answer(unavailable("no count is known"));
+        return;
+    }
+    auto const found = this->load->pending.find(call.queue.name);
+    answer(platform::encode_count(
+        found == this->load->pending.end() ? 0 : found->second));
+}
+
+void entry::take_load(load_message const& told)
+{
+    if (told.epoch < this->placer_epoch)
+    {
+        return;
+    }
+    this->placer_epoch = told.epoch;
+    this->load = told.load;
+    this->load_at = this->shared.now();
+}
+
+bool entry::load_is_fresh() const
+{
+    return this->load && this->shared.now() < this->load_at + load_age;
+}
+
+} // namespace cicada::cell
--- /dev/null
+++ b/libs/cell/src/entry.hpp
@@ -0,0 +1,81 @@
+#pragma once
+
+#include "context.hpp"
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <set>
+
+namespace cicada::cell
+{
+
+/** What an entry needs of the daemon around it. */
+struct entry_ports
+{
+    /** False if no placer is known or its link is down. */
+    std::function<bool(message const&)> send_to_placer;
+    /** The placer's answer, if this daemon is the placer. */
+    std::function<std::optional<batch::job_state>(std::string const&)>
+        own_state;
+};
+
+/** Takes callers' requests: stores jobs and cancellations, answers states. */
+class entry : public std::enable_shared_from_this<entry>
+{
+public:
+    entry(context& shared, entry_ports ports);
+
+    void handle(http_request request, http_answer answer);
+
+    void take_load(load_message const& told);
+    void take_state(state_reply const& told);
+
+private:
+    struct submission
+    {
+        batch::job job;
+        std::string record;
+        instant arrived;
+        instant give_up;       //!< answered by then
+        bool doubtful = false; //!< a write may have taken effect
+        http_answer answer;
+    };
+
+    struct open_query
+    {
+        std::string job;
+        http_answer answer;
+    };
+
+    void submit(platform::caller_call const& call,
+                http_request const& request,
+                http_answer answer);
+    void refuse_unless_stored(submission given, milliseconds retry_after);
+    void enqueue(submission given);
+    void commit_batch();
+    void take_commit(std::vector<submission> sent,
+                     result<platform::kv_committed> const& done);
+    void retry(submission given, error const& why);
+    void accept(submission const& given);
+    void query(std::string const& job, http_answer answer);
+    void query_store(std::string const& job, http_answer answer);
+    void cancel(platform::caller_call const& call, http_answer answer);
+    void
+    store_cancel(std::string const& job, http_answer answer, instant give_up);
+    void count(platform::caller_call const& call, http_answer answer);
+    bool load_is_fresh() const;
+
+    context& shared;
+    entry_ports ports;
+    std::deque<submission> queue;
+    bool committing = false;
+    bool flush_set = false;
+    std::map<std::uint64_t, open_query> queries;
+    std::uint64_t next_query = 1;
+    std::optional<batch::load_report> load;
+    instant load_at;
+    std::uint64_t placer_epoch = 0; //!< the highest that was heard of
+};
+
+} // namespace cicada::cell
--- /dev/null
+++ b/libs/cell/src/keys.cpp
@@ -0,0 +1,99 @@
+#include "keys.hpp"
+
+#include <nlohmann/json.hpp>
+
+namespace cicada::cell
+{
+
+namespace keys
+{
+
+std::string after(std::string const& key, std::string const& prefix)
+{
+    return key.rfind(prefix, 0) == 0 ? key.substr(prefix.size()) : "";
+}
+
+} // namespace keys
+
+namespace
+{
+
+using nlohmann::json;
+
+std::optional<membership::member> decode_member(std::string const& name,
+                                                std::string const& bytes)
+{
+    json const from = json::parse(bytes, nullptr, false);
+    if (!from.is_object() || !from.contains("host"))
+    {
+        return std::nullopt;
+    }
+    membership::member out;
+    out.name = name;
+    out.link.host = from.value("host", "");
+    out.link.port = from.value("port", std::uint16_t{0});
+    out.incarnation = from.value("incarnation", std::uint64_t{0});
+    return out;
+}
+
+std::optional<membership::placer_claim> decode_claim(std::string const& bytes)
+{
+    json const from = json::parse(bytes, nullptr, false);
+    if (!from.is_object() || !from.contains("name"))
+    {
+        return std::nullopt;
+    }
+    return membership::placer_claim{from.value("name", ""),
+                                    from.value("incarnation", std::uint64_t{0}),
+                                    from.value("epoch", std::uint64_t{0})};
+}
+
+} // namespace
+
+std::string encode_claim(membership::placer_claim const& claim)
+{
+    return json{{"name", claim.name},
+                {"incarnation", claim.incarnation},
+                {"epoch", claim.epoch}}
+        .dump();
+}
+
+std::string encode_member(membership::member const& each)
+{
+    return json{{"host", each.link.host},
+                {"port", each.link.port},
+                {"incarnation", each.incarnation}}
+        .dump();
+}
+
+membership::cell_view
+decode_view(std::map<std::string, platform::kv_item> const& items)
+{
+    membership::cell_view view;
+    for (auto const& entry : items)
+    {
+        platform::kv_item const& item = entry.second;
+        std::string const name = keys::after(item.key, keys::daemons);
+        if (!name.empty())
+        {
+            std::optional<membership::member> const read =
+                decode_member(name, item.value);
+            if (read)
+            {
+                view.members.push_back(*read);
+            }
+        }
+        else if (item.key == keys::placer)
+        {
+            view.placer = decode_claim(item.value);
+        }
+        else if (item.key == keys::epoch)
+        {
+            view.epoch = std::strtoull(item.value.c_str(), nullptr, 10);
+            view.epoch_revision = item.revision;
+        }
+    }
+    return view;
+}
+
+} // namespace cicada::cell
--- /dev/null
+++ b/libs/cell/src/messages.hpp
@@ -0,0 +1,83 @@
+#pragma once
+
+#include "batch/batch.hpp"
+
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+/** What daemons of a cell say to each other over the link, as CBOR. */
+namespace cicada::cell
+{
+
+/** A job that was just stored, to the placer. */
+struct job_message
+{
+    std::string record; //!< as encode_job() made it
+
+    bool operator==(job_message const&) const = default;
+};
+
+/** A stored cancellation, to the placer. */
+struct cancel_message
+{
+    std::string job;
+
+    bool operator==(cancel_message const&) const = default;
+};
+
+struct state_query
+{
+    std::uint64_t query = 0;
+    std::string job;
+
+    bool operator==(state_query const&) const = default;
+};
+
+struct state_reply
+{
+    std::uint64_t query = 0;
+    std::optional<batch::job_state> state; //!< none: the job isn't known
+
+    bool operator==(state_reply const&) const = default;
+};
+
+/** The placer's load, to all, several times a second. */
+struct load_message
+{
+    std::uint64_t epoch = 0;
+    batch::load_report load;
+};
+
+/** The placer is stopping; the next one needn't wait for it. */
+struct leaving_message
+{
+    bool operator==(leaving_message const&) const = default;
+};
+
+struct advice_request
+{
+    batch::ask_advice call;
+};
+
+struct advice_result
+{
+    batch::advice_answered answer;
+};
+
+using message = std::variant<job_message,
+                             cancel_message,
+                             state_query,
+                             state_reply,
+                             load_message,
+                             leaving_message,
+                             advice_request,
+                             advice_result>;
+
+std::string encode(message const& value);
+
+/** Errors: invalid_input. */
+result<message> decode_message(std::string const& bytes);
+
+} // namespace cicada::cell
--- /dev/null
+++ b/libs/cell/src/settings.cpp
@@ -0,0 +1,181 @@
+#include "cell/cell.hpp"
+
+#include <fstream>
+#include <functional>
+#include <sstream>
+
+namespace cicada::cell
+{
+
+namespace
+{
+
+using problems = std::vector<text_problem>;
+
+/** One key: how it is read, and whether it must be there. */
+struct setting
+{
+    std::string section;
+    std::string key;
+    std::string allowed;
+    bool required = true;
+    std::function<bool(cell_settings&, std::string const&)> read;
+};
+
+setting text_setting(std::string const& section,
+                     std::string const& key,
+                     std::string cell_settings::*field)
+{
+    return {section,
+            key,
+            "a name",
+            true,
+            [field](cell_settings& into, std::string const& text)
+            {
+                into.*field = text;
+                return !text.empty();
+            }};
+}
+
+setting address_setting(std::string const& section,
+                        std::string const& key,
+                        address cell_settings::*field,
+                        bool required = true)
+{
+    return {section,
+            key,
+            "IP:port",
+            required,
+            [field, required](cell_settings& into, std::string const& text)
+            {
+                if (text.empty() && !required)
+                {
+                    return true;
+                }
+                std::optional<address> const read = parse_address(text);
+                if (read)
+                {
+                    into.*field = *read;
+                }
+                return read.has_value();
+            }};
+}
+
+setting duration_setting(std::string const& section,
+                         std::string const& key,
+                         milliseconds cell_settings::*field)
+{
+    return {section,
+            key,
+            "a duration such as 6000ms",
+            false,
+            [field](cell_settings& into, std::string const& text)
+            {
+                std::optional<milliseconds> const read = parse_duration(text);
+                if (read && read->count() > 0)
+                {
+                    into.*field = *read;
+                }
+                return read && read->count() > 0;
+            }};
+}
+
+std::vector<setting> const& all_settings()
+{
+    static std::vector<setting> const all{
+        text_setting("daemon", "name", &cell_settings::name),
+        text_setting("daemon", "zone", &cell_settings::zone),
+        {"daemon",
+         "descriptors",
+         "a number from 300",
+         false,
+         [](cell_settings& into, std::string const& text)
+         {
+             std::optional<std::int64_t> const read = parse_count(text);
+             if (!read || *read < 300)
+             {
+                 return false;
+             }
+             into.descriptors = static_cast<int>(*read);
+             return true;
+         }},
+        address_setting("listen", "callers", &cell_settings::callers),
+        address_setting("listen", "readiness", &cell_settings::readiness),
+        address_setting("listen", "link", &cell_settings::link),
+        address_setting("listen", "metrics", &cell_settings::metrics),
+        address_setting("store", "address", &cell_settings::store),
+        address_setting("advisor", "address", &cell_settings::advisor, false),
+        duration_setting("workers", "lease-limit", &cell_settings::lease_limit),
+        duration_setting("daemon", "stop-limit", &cell_settings::stop_limit),
+    };
+    return all;
+}
+
+ini_entry const* find_entry(ini_document const& document, setting const& wanted)
+{
+    for (ini_section const& section : document.sections)
+    {
+        for (ini_entry const& entry : section.entries)
+        {
+            if (section.name == wanted.section && entry.key == wanted.key)
+            {
+                return &entry;
+            }
+        }
+    }
+    return nullptr;
+}
+
+} // namespace
+
+checked<cell_settings> read_settings(std::string const& text)
+{
+    ini_document const document = read_ini(text);
+    problems wrong = document.problems;
+    cell_settings settings;
+    for (setting const& each : all_settings())
+    {
+        ini_entry const* const entry = find_entry(document, each);
+        if (entry == nullptr)
+        {
+            if (each.required)
+            {
+                wrong.push_back({0,
+                                 each.section,
+                                 each.key,
+                                 "the key is missing",
+                                 each.allowed,
+                                 ""});
+            }
+            continue;
+        }
+        if (!each.read(settings, entry->value))
+        {
+            wrong.push_back({entry->line,
+                             each.section,
+                             each.key,
+                             "'" + entry->value + "' can't be read",
+                             each.allowed,
+                             ""});
+        }
+    }
+    if (!wrong.empty())
+    {
+        return wrong;
+    }
+    return settings;
+}
+
+checked<cell_settings> load_settings(std::string const& path)
+{
+    std::ifstream file(path);
+    if (!file)
+    {
+        return problems{{0, "", "", "the file can't be read", "", ""}};
+    }
+    std::ostringstream text;
+    text << file.rdbuf();
+    return read_settings(text.str());
+}
+
+} // namespace cicada::cell
--- /dev/null
+++ b/libs/http/src/client.cpp
@@ -0,0 +1,324 @@
+#include "http/http.hpp"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+#include <algorithm>
+#include <deque>
+#include <optional>
+#include <sys/socket.h>
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+
+namespace cicada
+{
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace bhttp = boost::beast::http;
+using failure = boost::system::error_code;
+using clock = std::chrono::steady_clock;
+
+namespace
+{
+
+/** A call that waits for a connection or is being made. */
+struct pending_call
+{
+    http_request request;
+    clock::time_point deadline;
+    http_outcome outcome;
+};
+
+} // namespace
+
+struct http_client::impl : std::enable_shared_from_this<http_client::impl>
+{
+    class connection;
+
+    impl(asio::io_context& given, address to, http_client_settings bounds)
+        : loop(given), where(std::move(to)), settings(bounds), sweep(given)
+    {
+    }
+
+    void start_waiting();
+    void arm_sweep();
+    void drop_expired();
+
+    asio::io_context& loop;
+    address where;
+    http_client_settings settings;
+    std::vector<std::shared_ptr<connection>> idle;
+    std::size_t open = 0;
+    std::deque<pending_call> waiting;
+    asio::steady_timer sweep;
+    bool closed = false;
+};
+
+/** One kept connection: one call at a time. */
+class http_client::impl::connection
+    : public std::enable_shared_from_this<connection>
+{
+public:
+    explicit connection(std::shared_ptr<impl> client)
+        : owner(std::move(client)), stream(this->owner->loop)
+    {
+        this->owner->open += 1;
+    }
+
+    ~connection()
+    {
+        this->owner->open -= 1;
+    }
+
+    connection(connection const&) = delete;
+    connection& operator=(connection const&) = delete;
+
+    void open(pending_call call)
+    {
+        this->current = std::move(call);
+        failure problem;
+        asio::ip::tcp::endpoint const to(
+            asio::ip::make_address(this->owner->where.host, problem),
+            this->owner->where.port);
+        if (problem)
+        {
+            this->finish(error{error_code::unavailable, problem.message()},
+                         false);
+            return;
+        }
+        this->stream.expires_at(
+            std::min(this->current->deadline,
+                     clock::now() + this->owner->settings.connect_limit));
+        this->stream.async_connect(
+            to,
+            [self = this->shared_from_this()](failure const& failed)
+            {
+                if (failed)
+                {
+                    self->finish(
+                        error{error_code::unavailable, failed.message()},
+                        false);
+                    return;
+                }
+                self->tune();
+                self->send();
+            });
+    }
+
+    void use(pending_call call)
+    {
+        this->current = std::move(call);
+        this->send();
+    }
+
+    void close()
+    {
+        this->stream.close();
+    }
+
+private:
+    void tune()
+    {
+        failure ignored;
+        this->stream.socket().set_option(asio::ip::tcp::no_delay(true),
+                                         ignored);
+        unsigned const limit =
+            static_cast<unsigned>(this->owner->settings.connect_limit.count());
+        // Without it a connection that lost its peer hangs for minutes.
+        ::setsockopt(this->stream.socket().native_handle(),
+                     IPPROTO_TCP,
+                     TCP_USER_TIMEOUT,
+                     &limit,
+                     sizeof limit);
+    }
+
+    void send()
+    {
+        this->message = {};
+        this->message.version(11);
+        this->message.method_string(this->current->request.method);
+        this->message.target(this->current->request.target);
+        this->message.set(bhttp::field::host, to_string(this->owner->where));
+        for (auto const& field : this->current->request.fields)
+        {
+            this->message.set(field.first, field.second);
+        }
+        this->message.body() = std::move(this->current->request.body);
+        this->message.prepare_payload();
+        this->stream.expires_at(this->current->deadline);
+        bhttp::async_write(
+            this->stream,
+            this->message,
+            [self = this->shared_from_this()](failure const& failed,
+                                              std::size_t sent)
+            {
+                if (failed)
+                {
+                    error_code const code = sent == 0 ? error_code::unavailable
+                                                      : error_code::unknown;
+                    self->finish(error{code, failed.message()}, false);
+                    return;
+                }
+                self->receive();
+            });
+    }
+
+    void receive()
+    {
+        this->parser.emplace();
+        this->parser->body_limit(this->owner->settings.answer_bytes);
+        bhttp::async_read(
+            this->stream,
+            this->buffer,
+            *this->parser,
+            [self = this->shared_from_this()](failure const& failed,
+                                              std::size_t)
+            {
+                if (failed)
+                {
+                    self->finish(error{error_code::unknown, failed.message()},
+                                 false);
+                    return;
+                }
+                self->answer();
+            });
+    }
+
+    void answer()
+    {
+        bhttp::response<bhttp::string_body> got = this->parser->release();
+        http_reply reply;
+        reply.status = static_cast<int>(got.result_int());
+        reply.body = std::move(got.body());
+        bool const keep = got.keep_alive();
+        this->finish(std::move(reply), keep);
+    }
+
+    void finish(result<http_reply> outcome, bool keep)
+    {
+        http_outcome const tell = std::move(this->current->outcome);
+        this->current.reset();
+        std::shared_ptr<impl> const client = this->owner;
+        if (client->closed)
+        {
+            return;
+        }
+        if (keep)
+        {
+            this->stream.expires_never();
+            client->idle.push_back(this->shared_from_this());
+        }
+        else
+        {
+            this->stream.close();
+        }
+        asio::post(client->loop,
+                   [client]
+                   {
+                       client->start_waiting();
+                   });
+        tell(std::move(outcome));
+    }
+
+    std::shared_ptr<impl> owner;
+    beast::tcp_stream stream;
+    beast::flat_buffer buffer;
+    std::optional<pending_call> current;
+    bhttp::request<bhttp::string_body> message;
+    std::optional<bhttp::response_parser<bhttp::string_body>> parser;
+};
+
+void http_client::impl::start_waiting()
+{
+    while (!this->closed && !this->waiting.empty())
+    {
+        if (!this->idle.empty())
+        {
+            std::shared_ptr<connection> const kept = this->idle.back();
+            this->idle.pop_back();
+            pending_call call = std::move(this->waiting.front());
+            this->waiting.pop_front();
+            kept->use(std::move(call));
+        }
+        else if (this->open < this->settings.connections)
+        {
+            pending_call call = std::move(this->waiting.front());
+            this->waiting.pop_front();
+            std::make_shared<connection>(this->shared_from_this())
+                ->open(std::move(call));
+        }
+        else
+        {
+            this->arm_sweep();
+            return;
+        }
+    }
+}
+
+void http_client::impl::arm_sweep()
+{
+    this->sweep.expires_at(this->waiting.front().deadline);
+    this->sweep.async_wait(
+        [self = this->shared_from_this()](failure const& stopped)
+        {
+            if (!stopped && !self->closed)
+            {
+                self->drop_expired();
+            }
+        });
+}
+
+void http_client::impl::drop_expired()
+{
+    clock::time_point const now = clock::now();
+    std::vector<http_outcome> expired;
+    for (auto call = this->waiting.begin(); call != this->waiting.end();)
+    {
+        if (call->deadline > now)
+        {
+            ++call;
+            continue;
+        }
+        expired.push_back(std::move(call->outcome));
+        call = this->waiting.erase(call);
+    }
+    for (http_outcome const& outcome : expired)
+    {
+        outcome(error{error_code::unavailable, "no connection was free"});
+    }
+    this->start_waiting();
+}
+
+http_client::http_client(asio::io_context& loop,
+                         address const& where,
+                         http_client_settings settings)
+    : self(std::make_shared<impl>(loop, where, settings))
+{
+}
+
+http_client::~http_client()
+{
+    this->self->closed = true;
+    this->self->sweep.cancel();
+    this->self->waiting.clear();
+    for (std::shared_ptr<impl::connection> const& each : this->self->idle)
+    {
+        each->close();
+    }
+    this->self->idle.clear();
+}
+
+void http_client::call(http_request request,
+                       milliseconds limit,
+                       http_outcome outcome)
+{
+    this->self->waiting.push_back(
+        {std::move(request), clock::now() + limit, std::move(outcome)});
+    this->self->start_waiting();
+}
+
+} // namespace cicada
