Count failed runs once and never start a job that has ended

(3) a pass over every waiting step ran after each event and advice was asked for the same room by many steps, so daemons stalled and lost their leases; passes are now paced, and asked-about room is set aside. (4) one save at a time made a slow store the bottleneck; six overlap now.

--- a/libs/batch/include/batch/batch.hpp
+++ b/libs/batch/include/batch/batch.hpp
@@ -113,8 +113,9 @@
 struct job_progress
 {
     job_state state = job_state::queued;
-    std::vector<std::vector<bool>> done;    //!< by step and task
-    std::vector<std::vector<int>> failures; //!< failed runs
+    std::vector<std::vector<bool>> done;                //!< by step and task
+    std::vector<std::vector<int>> failures;             //!< failed runs
+    std::vector<std::vector<std::uint64_t>> failed_run; //!< the last counted
 
     bool operator==(job_progress const&) const = default;
 };
@@ -371,11 +372,21 @@
     milliseconds expected{0};
 };
 
+/** One job's progress. */
+struct progress_record
+{
+    std::string job;
+    std::string bytes;
+    bool over = false;         //!< the job has ended: its other records go
+    bool cancelled = false;    //!< its cancellation is one of them
+    bool saved_before = false; //!< an earlier progress is one of them
+};
+
 /** Stores records, in one transaction. */
 struct save_progress
 {
     std::uint64_t save = 0;
-    std::vector<std::pair<std::string, std::string>> records; //!< by job
+    std::vector<progress_record> records;
 };
 
 /** One decision, for the log. */
@@ -403,12 +414,14 @@
 /** Figures that stay as they are while one placer lives. */
 struct scheduler_settings
 {
-    std::uint64_t epoch = 1;      //!< of this placer; higher than any before
-    milliseconds lease{6000};     //!< that a look gives a worker's runs
-    milliseconds look_wait{1000}; //!< a look waits this long for an end
-    milliseconds resend{150};     //!< between tries of an unanswered order
-    int tries = 3;                //!< of a start before it is called off
-    milliseconds save_pause{60};  //!< between saves, to gather changes
+    std::uint64_t epoch = 1;       //!< of this placer; higher than any before
+    milliseconds lease{6000};      //!< that a look gives a worker's runs
+    milliseconds look_wait{1000};  //!< a look waits this long for an end
+    milliseconds resend{150};      //!< between tries of an unanswered order
+    int tries = 3;                 //!< of a start before it is called off
+    milliseconds save_pause{60};   //!< between saves, to gather changes
+    milliseconds place_pause{10};  //!< between passes, to gather changes
+    std::size_t saves_at_once = 6; //!< a slow store answers after 0.3 s
 };
 
 struct scheduler;
--- a/libs/batch/src/jobs.cpp
+++ b/libs/batch/src/jobs.cpp
@@ -76,6 +76,7 @@
             step.tasks[k].phase =
                 progress.done[i][k] ? task_phase::done : task_phase::waiting;
             step.tasks[k].failures = progress.failures[i][k];
+            step.tasks[k].failed_run = progress.failed_run[i][k];
         }
         count_tasks(step);
     }
@@ -148,19 +149,30 @@
         count_tasks(record);
         j.steps.push_back(std::move(record));
     }
+    for (std::size_t i = j.steps.size(); i-- > 0;)
+    {
+        // Later steps name earlier ones, so their rest is known by now.
+        j.steps[i].rest += j.accepted.steps[i].estimate;
+        for (int earlier : j.accepted.steps[i].after)
+        {
+            step_record& before = j.steps[static_cast<std::size_t>(earlier)];
+            before.rest = std::max(before.rest, j.steps[i].rest);
+        }
+    }
     if (given.progress)
     {
         restore(j, *given.progress);
+        j.saved = true;
     }
     if (!is_over(j.state))
     {
         s.live.insert(j.accepted.id);
         s.place_wanted = true;
     }
-    log(s,
-        600,
-        "job=" + j.accepted.id + " queue=" + j.accepted.queue.name +
-            " adopted=" + (j.adopted ? "yes" : "no"));
+    if (!j.adopted)
+    {
+        log(s, 600, "job=" + j.accepted.id + " queue=" + j.accepted.queue.name);
+    }
     if (s.cancelled_early.erase(j.accepted.id) != 0)
     {
         cancel_job(s, j.accepted.id);
@@ -202,11 +214,13 @@
 void fail_task(scheduler& s, task_ref const& task, std::uint64_t run)
 {
     task_record* const record = find_task(s, task);
-    if (record == nullptr || record->phase == task_phase::done)
+    if (record == nullptr || record->phase == task_phase::done ||
+        run <= record->failed_run)
     {
         return;
     }
     job_record& j = s.jobs.at(task.job);
+    record->failed_run = run;
     record->failures += 1;
     mark_changed(s, j);
     log(s,
--- a/libs/batch/src/placing.cpp
+++ b/libs/batch/src/placing.cpp
@@ -12,6 +12,7 @@
 constexpr milliseconds ticket_margin{150}; //!< the way to the worker, twice
 constexpr int most_workers_asked = 100;    //!< the advisor's bound of one call
 constexpr int least_workers_asked = 8;
+constexpr std::size_t steps_per_pass = 150; //!< bounds one pass's time
 constexpr int asked_per_task = 3; //!< about the inverse of the share allowed
 
 /** A step with tasks to place, in the order of placing. */
@@ -42,21 +43,6 @@
     excluded //!< not allowed, or not fit
 };
 
-milliseconds rest_of_chain(job_record const& j, std::size_t from)
-{
-    milliseconds longest{0};
-    for (std::size_t i = from + 1; i < j.steps.size(); ++i)
-    {
-        std::vector<int> const& after = j.accepted.steps[i].after;
-        if (std::find(after.begin(), after.end(), static_cast<int>(from)) !=
-            after.end())
-        {
-            longest = std::max(longest, rest_of_chain(j, i));
-        }
-    }
-    return longest + j.accepted.steps[from].estimate;
-}
-
 std::vector<waiting_step> waiting_steps(scheduler& s)
 {
     std::vector<waiting_step> all;
@@ -77,7 +63,7 @@
             w.j = &j;
             w.step = static_cast<int>(i);
             w.priority = j.accepted.queue.priority;
-            w.latest_start = j.objective - rest_of_chain(j, i);
+            w.latest_start = j.objective - j.steps[i].rest;
             w.late = w.latest_start < s.now;
             all.push_back(w);
         }
@@ -99,7 +85,7 @@
     std::size_t const at = static_cast<std::size_t>(step);
     task_step const& shape = j.accepted.steps[at];
     std::vector<std::string> const& labels = w.offer.labels;
-    if (w.offer.service != j.accepted.queue.service || !usable(s, w) ||
+    if (w.offer.service != j.accepted.queue.service ||
         (!shape.required_label.empty() &&
          std::find(labels.begin(), labels.end(), shape.required_label) ==
              labels.end()))
@@ -124,12 +110,41 @@
                : standing::expired;
 }
 
-/** How many tasks of the step fit on the worker now. */
-int room_for(worker_record const& w, job_record const& j, int step)
+/** A usable worker in one pass of placing. */
+struct slot
 {
-    std::size_t const at = static_cast<std::size_t>(step);
-    task_step const& shape = j.accepted.steps[at];
-    resources const free = w.offer.capacity - w.used;
+    worker_record* w = nullptr;
+    resources free;        //!< less what steps before have asked advice for
+    bool reserved = false; //!< a gang waits for it
+};
+
+/** What is free in one pass; later steps see what earlier ones leave. */
+struct free_room
+{
+    std::vector<slot> slots;
+    std::int64_t most_cores = 0; //!< of one slot, when the pass began
+};
+
+free_room gather_room(scheduler& s)
+{
+    free_room room;
+    for (auto& entry : s.workers)
+    {
+        worker_record& w = entry.second;
+        if (usable(s, w))
+        {
+            slot next{&w, w.offer.capacity - w.used, false};
+            room.most_cores = std::max(room.most_cores, next.free.milli_cores);
+            room.slots.push_back(next);
+        }
+    }
+    return room;
+}
+
+/** How many tasks of the step fit into the slot now. */
+int room_for(slot const& at, job_record const& j, int step)
+{
+    task_step const& shape = j.accepted.steps[static_cast<std::size_t>(step)];
     std::int64_t fits = shape.count;
     auto const limit = [&fits](std::int64_t have, std::int64_t need)
     {
@@ -138,52 +153,54 @@
             fits = std::min(fits, std::max<std::int64_t>(have, 0) / need);
         }
     };
-    limit(free.milli_cores, shape.size.milli_cores);
-    limit(free.memory_mib, shape.size.memory_mib);
-    limit(free.accelerators, shape.size.accelerators);
-    int here = 0;
-    auto run = w.runs.lower_bound({j.accepted.id, step, 0});
-    for (; run != w.runs.end() && run->first.job == j.accepted.id &&
-           run->first.step == step;
-         ++run)
-    {
-        ++here;
-    }
+    limit(at.free.milli_cores, shape.size.milli_cores);
+    limit(at.free.memory_mib, shape.size.memory_mib);
+    limit(at.free.accelerators, shape.size.accelerators);
     if (shape.per_worker > 0)
     {
+        std::int64_t here = 0;
+        auto run = at.w->runs.lower_bound({j.accepted.id, step, 0});
+        for (; run != at.w->runs.end() && run->first.job == j.accepted.id &&
+               run->first.step == step;
+             ++run)
+        {
+            ++here;
+        }
         fits = std::min<std::int64_t>(fits, shape.per_worker - here);
     }
     return static_cast<int>(std::max<std::int64_t>(fits, 0));
 }
 
-/** Workers that a gang waits for: others place nothing there. */
-using reservations = std::set<std::string>;
-
 struct candidate
 {
-    worker_record* w = nullptr;
+    slot* at = nullptr;
     int room = 0;
     bool near = true;
 };
 
 /** Starts one task, unless the worker still has an earlier run of it. */
-bool start_one(scheduler& s,
+void start_one(scheduler& s,
                job_record& j,
                int step,
                int index,
                std::uint64_t run,
-               worker_record& w)
+               slot& at)
 {
     task_ref const task{j.accepted.id, step, index};
-    if (w.runs.count(task) != 0)
+    if (at.w->runs.count(task) != 0)
     {
-        return false;
+        return;
     }
-    auto const& advice = j.steps[static_cast<std::size_t>(step)].advice;
-    auto const found = advice.find(w.offer.id);
-    start_run(
-        s, w, j, task, run, found == advice.end() ? "" : found->second.ticket);
-    return true;
+    std::size_t const number = static_cast<std::size_t>(step);
+    auto const& advice = j.steps[number].advice;
+    auto const found = advice.find(at.w->offer.id);
+    at.free = at.free - j.accepted.steps[number].size;
+    start_run(s,
+              *at.w,
+              j,
+              task,
+              run,
+              found == advice.end() ? "" : found->second.ticket);
 }
 
 bool is_rack(worker_record const& w, std::string const& rack)
@@ -203,39 +220,37 @@
     std::vector<candidate> ready;
     std::vector<candidate> expired;
     std::vector<candidate> unasked;
-    int allowed_elsewhere = 0; //!< allowed, without room now
 };
 
-choices
-choices_for(scheduler& s, job_record& j, int step, reservations const& kept)
+choices choices_for(scheduler& s, job_record& j, int step, free_room& room)
 {
     choices found;
     task_step const& shape = j.accepted.steps[static_cast<std::size_t>(step)];
-    for (auto& entry : s.workers)
+    for (slot& at : room.slots)
     {
-        worker_record& w = entry.second;
-        standing const can = standing_of(s, w, j, step);
-        if (can == standing::excluded || kept.count(entry.first) != 0)
+        if (at.reserved)
         {
             continue;
         }
-        candidate const c{&w,
-                          room_for(w, j, step),
-                          shape.data_rack.empty() ||
-                              is_rack(w, shape.data_rack)};
-        if (can == standing::unasked && (c.room > 0 || shape.gang))
+        int const fits = room_for(at, j, step);
+        if (fits == 0 && !shape.gang)
         {
-            found.unasked.push_back(c);
+            continue;
         }
-        else if (c.room == 0)
+        standing const can = standing_of(s, *at.w, j, step);
+        candidate const c{&at,
+                          fits,
+                          shape.data_rack.empty() ||
+                              is_rack(*at.w, shape.data_rack)};
+        if (can == standing::unasked)
         {
-            found.allowed_elsewhere += can == standing::unasked ? 0 : 1;
+            found.unasked.push_back(c);
         }
-        else if (can == standing::ready)
+        else if (can == standing::ready && fits > 0)
         {
             found.ready.push_back(c);
         }
-        else if (can == standing::expired)
+        else if (can == standing::expired && fits > 0)
         {
             found.expired.push_back(c);
         }
@@ -250,18 +265,16 @@
     {
         return left.near;
     }
-    std::int64_t const a =
-        left.w->offer.capacity.milli_cores - left.w->used.milli_cores;
-    std::int64_t const b =
-        right.w->offer.capacity.milli_cores - right.w->used.milli_cores;
-    return a != b ? a < b : left.w->offer.id < right.w->offer.id;
+    std::int64_t const a = left.at->free.milli_cores;
+    std::int64_t const b = right.at->free.milli_cores;
+    return a != b ? a < b : left.at < right.at;
 }
 
 /** The most room first, so that a gang spans few workers. */
 bool roomier(candidate const& left, candidate const& right)
 {
     return left.room != right.room ? left.room > right.room
-                                   : left.w->offer.id < right.w->offer.id;
+                                   : left.at < right.at;
 }
 
 int total_room(std::vector<candidate> const& all)
@@ -282,6 +295,7 @@
          int most)
 {
     std::vector<std::string> names;
+    task_step const& shape = j.accepted.steps[static_cast<std::size_t>(step)];
     std::sort(expired.begin(), expired.end(), roomier);
     std::sort(unasked.begin(), unasked.end(), roomier);
     for (std::vector<candidate> const* part : {&expired, &unasked})
@@ -290,7 +304,12 @@
         {
             if (static_cast<int>(names.size()) < most)
             {
-                names.push_back(c.w->offer.id);
+                names.push_back(c.at->w->offer.id);
+                // Room that is asked about is not offered to later steps.
+                if (!shape.gang)
+                {
+                    c.at->free = c.at->free - shape.size;
+                }
             }
         }
     }
@@ -300,13 +319,17 @@
     }
 }
 
-void place_single(scheduler& s,
-                  waiting_step const& at,
-                  reservations const& kept)
+void place_single(scheduler& s, waiting_step const& at, free_room& room)
 {
     job_record& j = *at.j;
     step_record& step = j.steps[static_cast<std::size_t>(at.step)];
-    choices found = choices_for(s, j, at.step, kept);
+    task_step const& shape =
+        j.accepted.steps[static_cast<std::size_t>(at.step)];
+    if (shape.size.milli_cores > room.most_cores)
+    {
+        return;
+    }
+    choices found = choices_for(s, j, at.step, room);
     std::sort(found.ready.begin(), found.ready.end(), packs_better);
     auto worker = found.ready.begin();
     for (std::size_t k = 0; k < step.tasks.size(); ++k)
@@ -324,7 +347,8 @@
             break;
         }
         worker->room -= 1;
-        start_one(s, j, at.step, static_cast<int>(k), j.next_run++, *worker->w);
+        start_one(
+            s, j, at.step, static_cast<int>(k), j.next_run++, *worker->at);
     }
     if (step.waiting > 0)
     {
@@ -351,7 +375,7 @@
     std::map<std::string, std::vector<candidate>> racks;
     for (candidate const& c : ready)
     {
-        racks[rack_of(*c.w)].push_back(c);
+        racks[rack_of(*c.at->w)].push_back(c);
     }
     for (auto const& rack : racks)
     {
@@ -364,45 +388,42 @@
 }
 
 /** Keeps the workers that will be free soonest for a gang that waits. */
-void reserve(scheduler& s, waiting_step const& at, reservations& kept)
+void reserve(scheduler& s, waiting_step const& at, free_room& room)
 {
     job_record& j = *at.j;
     task_step const& shape =
         j.accepted.steps[static_cast<std::size_t>(at.step)];
-    std::vector<std::pair<instant, candidate>> allowed;
-    for (auto& entry : s.workers)
+    if (shape.size.milli_cores <= 0)
     {
-        worker_record& w = entry.second;
-        standing const can = standing_of(s, w, j, at.step);
-        if ((can != standing::ready && can != standing::expired) ||
-            kept.count(entry.first) != 0 || shape.size.milli_cores <= 0)
+        return;
+    }
+    std::vector<std::pair<instant, slot*>> allowed;
+    for (slot& each : room.slots)
+    {
+        standing const can = standing_of(s, *each.w, j, at.step);
+        if (each.reserved ||
+            (can != standing::ready && can != standing::expired))
         {
             continue;
         }
         instant free_at = s.now;
-        for (auto const& run : w.runs)
+        for (auto const& run : each.w->runs)
         {
             free_at = std::max(free_at, run.second.expected_end);
         }
-        int const whole = static_cast<int>(w.offer.capacity.milli_cores /
-                                           shape.size.milli_cores);
-        allowed.push_back({free_at, {&w, whole, true}});
+        allowed.emplace_back(free_at, &each);
     }
-    std::sort(allowed.begin(),
-              allowed.end(),
-              [](auto const& left, auto const& right)
-              {
-                  return left.first < right.first;
-              });
-    int room = 0;
+    std::sort(allowed.begin(), allowed.end());
+    std::int64_t tasks = 0;
     for (auto const& each : allowed)
     {
-        if (room >= shape.count)
+        if (tasks >= shape.count)
         {
             return;
         }
-        room += each.second.room;
-        kept.insert(each.second.w->offer.id);
+        tasks +=
+            each.second->w->offer.capacity.milli_cores / shape.size.milli_cores;
+        each.second->reserved = true;
     }
 }
 
@@ -420,7 +441,36 @@
     }
 }
 
-void place_gang(scheduler& s, waiting_step const& at, reservations& kept)
+/** Starts every member, or none if a worker still has an earlier run. */
+void start_gang(scheduler& s,
+                job_record& j,
+                int step,
+                std::vector<candidate> places)
+{
+    int const count = j.accepted.steps[static_cast<std::size_t>(step)].count;
+    std::vector<slot*> plan;
+    auto place = places.begin();
+    for (int k = 0; k < count; ++k)
+    {
+        while (place->room == 0)
+        {
+            ++place;
+        }
+        place->room -= 1;
+        plan.push_back(place->at);
+        if (place->at->w->runs.count({j.accepted.id, step, k}) != 0)
+        {
+            return;
+        }
+    }
+    std::uint64_t const run = j.next_run++;
+    for (int k = 0; k < count; ++k)
+    {
+        start_one(s, j, step, k, run, *plan[static_cast<std::size_t>(k)]);
+    }
+}
+
+void place_gang(scheduler& s, waiting_step const& at, free_room& room)
 {
     job_record& j = *at.j;
     step_record& step = j.steps[static_cast<std::size_t>(at.step)];
@@ -432,21 +482,10 @@
         call_off_gang(s, j, at.step);
         return;
     }
-    choices found = choices_for(s, j, at.step, kept);
+    choices found = choices_for(s, j, at.step, room);
     if (total_room(found.ready) >= shape.count)
     {
-        std::vector<candidate> places = gang_places(shape, found.ready);
-        std::uint64_t const run = j.next_run++;
-        auto worker = places.begin();
-        for (int k = 0; k < shape.count; ++k)
-        {
-            while (worker->room == 0)
-            {
-                ++worker;
-            }
-            worker->room -= 1;
-            start_one(s, j, at.step, k, run, *worker->w);
-        }
+        start_gang(s, j, at.step, gang_places(shape, found.ready));
         return;
     }
     if (!found.unasked.empty())
@@ -460,7 +499,7 @@
     }
     if (!at.late)
     {
-        reserve(s, at, kept);
+        reserve(s, at, room);
     }
 }
 
@@ -468,23 +507,31 @@
 
 void place_tasks(scheduler& s)
 {
-    if (s.over || !s.place_wanted)
+    if (s.over || !s.place_wanted || s.now < s.next_place)
     {
         return;
     }
     s.place_wanted = false;
-    reservations kept;
-    for (waiting_step const& each : waiting_steps(s))
+    s.next_place = s.now + s.settings.place_pause;
+    free_room room = gather_room(s);
+    if (room.slots.empty())
+    {
+        return;
+    }
+    std::vector<waiting_step> const steps = waiting_steps(s);
+    std::size_t const most = std::min(steps.size(), steps_per_pass);
+    for (std::size_t i = 0; i < most; ++i)
     {
+        waiting_step const& each = steps[i];
         bool const gang =
             each.j->accepted.steps[static_cast<std::size_t>(each.step)].gang;
         if (gang)
         {
-            place_gang(s, each, kept);
+            place_gang(s, each, room);
         }
         else
         {
-            place_single(s, each, kept);
+            place_single(s, each, room);
         }
     }
 }
--- a/libs/batch/src/saving.cpp
+++ b/libs/batch/src/saving.cpp
@@ -8,7 +8,7 @@
 namespace
 {
 
-constexpr std::size_t records_per_save = 30; //!< a transaction has 32 entries
+constexpr std::size_t entries_per_save = 31; //!< of 32; one is a condition
 
 job_progress progress_of(job_record const& j)
 {
@@ -18,13 +18,16 @@
     {
         std::vector<bool> done;
         std::vector<int> failures;
+        std::vector<std::uint64_t> failed_run;
         for (task_record const& task : step.tasks)
         {
             done.push_back(task.phase == task_phase::done);
             failures.push_back(task.failures);
+            failed_run.push_back(task.failed_run);
         }
         p.done.push_back(std::move(done));
         p.failures.push_back(std::move(failures));
+        p.failed_run.push_back(std::move(failed_run));
     }
     return p;
 }
@@ -33,68 +36,116 @@
 std::uint64_t first_unstored(scheduler const& s)
 {
     std::uint64_t first = s.changes + 1;
-    for (auto const* part : {&s.unsaved, &s.saving})
+    for (auto const& entry : s.unsaved)
     {
-        for (auto const& entry : *part)
-        {
-            first = std::min(first, entry.second);
-        }
+        first = std::min(first, entry.second);
+    }
+    for (auto const& entry : s.saving)
+    {
+        first = std::min(first, entry.second.change);
     }
     return first;
 }
 
 } // namespace
 
-void save_changes(scheduler& s)
+namespace
+{
+
+/** How many entries of a transaction the record takes. */
+std::size_t entries_of(progress_record const& record)
 {
-    if (s.save != 0 || s.unsaved.empty() || s.next_save > s.now || s.over)
+    if (!record.over)
     {
-        return;
+        return 1;
     }
+    return 2 + (record.cancelled ? 1 : 0) + (record.saved_before ? 1 : 0);
+}
+
+/** Changed jobs that aren't being saved already, oldest change first. */
+std::vector<std::pair<std::uint64_t, std::string>>
+oldest_changes(scheduler const& s)
+{
     std::vector<std::pair<std::uint64_t, std::string>> oldest;
     for (auto const& entry : s.unsaved)
     {
-        oldest.emplace_back(entry.second, entry.first);
+        if (s.saving.count(entry.first) == 0)
+        {
+            oldest.emplace_back(entry.second, entry.first);
+        }
     }
     std::sort(oldest.begin(), oldest.end());
-    oldest.resize(std::min(oldest.size(), records_per_save));
+    return oldest;
+}
+
+progress_record make_record(job_record const& j)
+{
+    progress_record record;
+    record.job = j.accepted.id;
+    record.over = is_over(j.state);
+    record.cancelled = j.state == job_state::cancelled;
+    record.saved_before = j.saved;
+    record.bytes = encode_progress(progress_of(j));
+    return record;
+}
+
+} // namespace
+
+void save_changes(scheduler& s)
+{
+    if (s.over || s.unsaved.empty() || s.next_save > s.now ||
+        s.save_jobs.size() >= s.settings.saves_at_once)
+    {
+        return;
+    }
     save_progress call;
-    s.saves += 1;
-    s.save = s.saves;
-    call.save = s.save;
-    for (auto const& each : oldest)
+    call.save = s.saves + 1;
+    std::size_t entries = 0;
+    for (auto const& each : oldest_changes(s))
     {
         job_record const& j = s.jobs.at(each.second);
-        job_progress const progress = progress_of(j);
-        call.records.emplace_back(each.second, encode_progress(progress));
-        s.saving.emplace(each.second, each.first);
-        s.saving_state[each.second] = progress.state;
+        progress_record record = make_record(j);
+        entries += entries_of(record);
+        if (entries > entries_per_save)
+        {
+            break;
+        }
+        call.records.push_back(std::move(record));
+        s.saving[each.second] = {each.first, j.state};
         s.unsaved.erase(each.second);
+        s.save_jobs[call.save].push_back(each.second);
     }
+    if (call.records.empty())
+    {
+        return;
+    }
+    s.saves = call.save;
+    s.next_save = s.now + s.settings.save_pause;
     s.effects.emplace_back(std::move(call));
 }
 
 void take_saved(scheduler& s, progress_saved const& outcome)
 {
-    if (outcome.save != s.save)
+    auto const found = s.save_jobs.find(outcome.save);
+    if (found == s.save_jobs.end())
     {
         return;
     }
-    s.save = 0;
-    s.next_save = s.now + s.settings.save_pause;
-    for (auto const& entry : s.saving)
+    for (std::string const& id : found->second)
     {
+        saving_record const record = s.saving.at(id);
+        s.saving.erase(id);
         if (outcome.stored)
         {
-            s.jobs.at(entry.first).stored_state =
-                s.saving_state.at(entry.first);
+            job_record& j = s.jobs.at(id);
+            j.stored_state = record.state;
+            j.saved = true;
             continue;
         }
-        auto const kept = s.unsaved.emplace(entry.first, entry.second);
-        kept.first->second = std::min(kept.first->second, entry.second);
+        auto const kept = s.unsaved.emplace(id, record.change);
+        kept.first->second = std::min(kept.first->second, record.change);
     }
-    s.saving.clear();
-    s.saving_state.clear();
+    s.save_jobs.erase(found);
     acknowledge_ends(s);
 }
 
--- a/libs/batch/src/state.hpp
+++ b/libs/batch/src/state.hpp
@@ -71,6 +71,7 @@
 {
     task_phase phase = task_phase::waiting;
     int failures = 0;
+    std::uint64_t failed_run = 0; //!< the last that was counted
     std::string checkpoint;
     std::string worker; //!< while placed
     std::uint64_t run = 0;
@@ -95,6 +96,7 @@
     std::map<std::string, advice_record> advice; //!< by worker
     std::uint64_t asking = 0; //!< the call on its way; 0: none
     instant next_ask;
+    milliseconds rest{0}; //!< the longest chain from here, itself included
 };
 
 struct job_record
@@ -109,7 +111,14 @@
     instant objective; //!< shown as completed by then, it is in time
     milliseconds chain{0};
     std::uint64_t next_run = 1;
-    std::uint64_t change = 0; //!< first unsaved; 0: none
+    bool saved = false; //!< some progress of it is in the store
+};
+
+/** A change on its way to the store. */
+struct saving_record
+{
+    std::uint64_t change = 0;
+    job_state state = job_state::queued;
 };
 
 struct asker_record
@@ -139,12 +148,12 @@
     std::uint64_t advice_calls = 0;
     std::uint64_t changes = 0;
     std::map<std::string, std::uint64_t> unsaved; //!< job to its first change
-    std::map<std::string, std::uint64_t> saving;
-    std::map<std::string, job_state> saving_state;
-    std::uint64_t save = 0; //!< in flight; 0: none
+    std::map<std::string, saving_record> saving;  //!< by job
+    std::map<std::uint64_t, std::vector<std::string>> save_jobs; //!< by save
     std::uint64_t saves = 0;
     instant next_save;
     bool place_wanted = false;
+    instant next_place;
     std::vector<effect> effects;
 };
 
--- a/libs/cell/src/cell.cpp
+++ b/libs/cell/src/cell.cpp
@@ -27,6 +27,7 @@
 constexpr milliseconds exit_margin{700};     //!< before the platform kills
 constexpr milliseconds advisor_slack{800};
 constexpr std::size_t advisor_connections = 12;
+constexpr std::size_t full_mesh_members = 16;
 constexpr int reserved_descriptors = 500;  //!< workers, links, the store
 constexpr char const* cell_token = "cell"; //!< peers are told apart by names
 
@@ -517,11 +518,13 @@
     this->connect_peers();
 }
 
-/** The placer links to every daemon, the others to the placer. */
+/** The placer links to every daemon, the others to the placer; in a small
+ * cell all link to all, so that a new placer finds its links open. */
 void cell_daemon::impl::connect_peers()
 {
     std::vector<std::string> askers;
     std::set<std::string> wanted;
+    bool const few = this->members.view.members.size() <= full_mesh_members;
     std::optional<membership::placer_claim> const& claim =
         this->members.view.placer;
     for (membership::member const& each : this->members.view.members)
@@ -529,7 +532,7 @@
         askers.push_back(each.name);
         bool const self = each.name == this->shared.settings.name;
         bool const is_placer = claim && claim->name == each.name;
-        if (!self && (this->placing || is_placer))
+        if (!self && (few || this->placing || is_placer))
         {
             wanted.insert(each.name);
             this->link.connect(each.name, each.link.host, each.link.port);
@@ -620,7 +623,7 @@
 {
     if (this->placing)
     {
-        this->placing->take_job(m.record);
+        this->placing->take_job(m);
     }
 }
 
--- a/libs/cell/src/entry.cpp
+++ b/libs/cell/src/entry.cpp
@@ -10,9 +10,10 @@
 namespace
 {
 
-/** Jobs in one transaction: each takes a condition and a write of 32. */
-constexpr std::size_t jobs_per_commit = 16;
-constexpr milliseconds gather{4}; //!< about one call to the store
+/** Jobs in one transaction: each takes two conditions and a write of 32. */
+constexpr std::size_t jobs_per_commit = 10;
+constexpr int commits_at_once = 4; //!< a slow store answers after 0.3 s
+constexpr milliseconds gather{4};  //!< about one call to the store
 constexpr milliseconds default_deadline{3000};
 constexpr milliseconds answer_way{40}; //!< kept for the answer's way back
 constexpr milliseconds retry_pause{60};
@@ -112,14 +113,13 @@
 
 void entry::refuse_unless_stored(submission given, milliseconds retry_after)
 {
-    std::string const key = keys::jobs + given.job.id;
     auto const kept = std::make_shared<submission>(std::move(given));
-    this->shared.store.get(
-        key,
+    this->find_record(
+        kept->job.id,
         [self = this->shared_from_this(), kept, retry_after](
-            result<platform::kv_item> const& item)
+            result<stored_record> const& found)
         {
-            if (item.has_value() && item.assume_value().revision != 0)
+            if (found.has_value() && found.assume_value().known)
             {
                 kept->answer(platform::encode_accepted());
                 return;
@@ -139,7 +139,7 @@
 void entry::enqueue(submission given)
 {
     this->queue.push_back(std::move(given));
-    if (this->committing || this->flush_set)
+    if (this->committing >= commits_at_once || this->flush_set)
     {
         return;
     }
@@ -154,7 +154,7 @@
 
 void entry::commit_batch()
 {
-    if (this->committing || this->queue.empty())
+    if (this->committing >= commits_at_once || this->queue.empty())
     {
         return;
     }
@@ -173,18 +173,19 @@
         }
         std::string const key = keys::jobs + next.job.id;
         change.conditions.push_back({key, 0});
+        change.conditions.push_back({keys::ends + next.job.id, 0});
         change.writes.push_back({key, next.record, 0});
         sent.push_back(std::move(next));
     }
     this->queue = std::move(later);
-    this->committing = true;
+    this->committing += 1;
     auto const kept =
         std::make_shared<std::vector<submission>>(std::move(sent));
     this->shared.store.commit(change,
                               [self = this->shared_from_this(),
                                kept](result<platform::kv_committed> const& done)
                               {
-                                  self->committing = false;
+                                  self->committing -= 1;
                                   self->take_commit(std::move(*kept), done);
                                   self->commit_batch();
                               });
@@ -205,21 +206,31 @@
     }
     this->shared.store_heard = this->shared.now();
     platform::kv_committed const& outcome = done.assume_value();
-    std::set<std::string> present;
+    if (outcome.outcome == platform::kv_commit::committed)
+    {
+        for (submission const& each : sent)
+        {
+            this->accept(each, outcome.revision);
+        }
+        return;
+    }
+    std::map<std::string, std::int64_t> present; // 0: it has ended
     for (platform::kv_item const& item : outcome.found)
     {
-        if (item.revision != 0 && !item.deleted)
+        if (item.revision == 0 || item.deleted)
         {
-            present.insert(keys::after(item.key, keys::jobs));
+            continue;
         }
+        std::string const job = keys::after(item.key, keys::jobs);
+        present[job.empty() ? keys::after(item.key, keys::ends) : job] =
+            job.empty() ? 0 : item.revision;
     }
     for (submission& each : sent)
     {
-        bool const stored = outcome.outcome == platform::kv_commit::committed ||
-                            present.count(each.job.id) != 0;
-        if (stored)
+        auto const found = present.find(each.job.id);
+        if (found != present.end())
         {
-            this->accept(each);
+            this->accept(each, found->second);
         }
         else
         {
@@ -259,7 +270,7 @@
     given.answer(platform::encode_refusal(504, "the store did not answer"));
 }
 
-void entry::accept(submission const& given)
+void entry::accept(submission const& given, std::int64_t revision)
 {
     this->shared.write(
         607,
@@ -268,7 +279,7 @@
             std::to_string((this->shared.now() - given.arrived).count()));
     given.answer(platform::encode_accepted());
     // If the message is lost, the placer reads the job from the store.
-    this->ports.send_to_placer(job_message{given.record});
+    this->ports.send_to_placer(job_message{given.record, revision});
 }
 
 // ---- states
@@ -314,40 +325,81 @@
 
 void entry::query_store(std::string const& job, http_answer answer)
 {
-    auto self = this->shared_from_this();
-    this->shared.store.get(
-        keys::progress + job,
-        [self, job, answer](result<platform::kv_item> const& item)
-        {
-            if (!item.has_value())
-            {
-                answer(unavailable("the store is away"));
-                return;
-            }
-            if (item.assume_value().revision != 0)
-            {
-                result<batch::job_progress> const read =
-                    batch::decode_progress(item.assume_value().value);
-                answer(read.has_value()
-                           ? platform::encode_state(read.assume_value().state)
-                           : unavailable("the record can't be read"));
-                return;
-            }
-            self->shared.store.get(
-                keys::jobs + job,
-                [answer](result<platform::kv_item> const& stored)
-                {
-                    if (!stored.has_value())
-                    {
-                        answer(unavailable("the store is away"));
-                        return;
-                    }
-                    answer(
-                        stored.assume_value().revision != 0
-                            ? platform::encode_state(batch::job_state::queued)
-                            : platform::encode_refusal(410, "no such job"));
-                });
-        });
+    this->find_record(job,
+                      [answer](result<stored_record> const& found)
+                      {
+                          if (!found.has_value())
+                          {
+                              answer(unavailable("the store is away"));
+                              return;
+                          }
+                          stored_record const& record = found.assume_value();
+                          if (!record.known)
+                          {
+                              answer(
+                                  platform::encode_refusal(410, "no such job"));
+                              return;
+                          }
+                          answer(platform::encode_state(record.state));
+                      });
+}
+
+/**
+ * Reads a job's records: its end, its progress, itself. The end is read last
+ * again, as it replaces the others while they are read.
+ */
+void entry::find_record(std::string const& job,
+                        std::function<void(result<stored_record>)> then)
+{
+    std::vector<std::string> const order{keys::ends + job,
+                                         keys::progress + job,
+                                         keys::jobs + job,
+                                         keys::ends + job};
+    this->find_record_from(order, 0, std::move(then));
+}
+
+void entry::find_record_from(std::vector<std::string> const& order,
+                             std::size_t at,
+                             std::function<void(result<stored_record>)> then)
+{
+    if (at == order.size())
+    {
+        then(stored_record{});
+        return;
+    }
+    this->shared.store.get(order[at],
+                           [self = this->shared_from_this(), order, at, then](
+                               result<platform::kv_item> const& item)
+                           {
+                               if (!item.has_value())
+                               {
+                                   then(item.assume_error());
+                                   return;
+                               }
+                               platform::kv_item const& found =
+                                   item.assume_value();
+                               if (found.revision == 0)
+                               {
+                                   self->find_record_from(order, at + 1, then);
+                                   return;
+                               }
+                               stored_record record;
+                               record.known = true;
+                               bool const has_state =
+                                   keys::after(order[at], keys::jobs).empty();
+                               if (has_state)
+                               {
+                                   result<batch::job_progress> const read =
+                                       batch::decode_progress(found.value);
+                                   if (!read.has_value())
+                                   {
+                                       then(read.assume_error());
+                                       return;
+                                   }
+                                   record.state = read.assume_value().state;
+                               }
+                               then(record);
+                           });
 }
 
 // ---- cancellations
@@ -357,17 +409,17 @@
     instant const give_up = this->shared.now() +
                             call.deadline.value_or(default_deadline) -
                             answer_way;
-    this->shared.store.get(
-        keys::jobs + call.job,
+    this->find_record(
+        call.job,
         [self = this->shared_from_this(), job = call.job, answer, give_up](
-            result<platform::kv_item> const& item)
+            result<stored_record> const& found)
         {
-            if (!item.has_value())
+            if (!found.has_value())
             {
                 answer(unavailable("the store is away"));
                 return;
             }
-            if (item.assume_value().revision == 0)
+            if (!found.assume_value().known)
             {
                 answer(platform::encode_refusal(410, "no such job"));
                 return;
--- a/libs/cell/src/entry.hpp
+++ b/libs/cell/src/entry.hpp
@@ -48,6 +48,18 @@
         http_answer answer;
     };
 
+    /** What the store has of a job. */
+    struct stored_record
+    {
+        bool known = false;
+        batch::job_state state = batch::job_state::queued;
+    };
+
+    void find_record(std::string const& job,
+                     std::function<void(result<stored_record>)> then);
+    void find_record_from(std::vector<std::string> const& order,
+                          std::size_t at,
+                          std::function<void(result<stored_record>)> then);
     void submit(platform::caller_call const& call,
                 http_request const& request,
                 http_answer answer);
@@ -57,7 +69,7 @@
     void take_commit(std::vector<submission> sent,
                      result<platform::kv_committed> const& done);
     void retry(submission given, error const& why);
-    void accept(submission const& given);
+    void accept(submission const& given, std::int64_t revision);
     void query(std::string const& job, http_answer answer);
     void query_store(std::string const& job, http_answer answer);
     void cancel(platform::caller_call const& call, http_answer answer);
@@ -69,7 +81,7 @@
     context& shared;
     entry_ports ports;
     std::deque<submission> queue;
-    bool committing = false;
+    int committing = 0; //!< transactions on their way
     bool flush_set = false;
     std::map<std::uint64_t, open_query> queries;
     std::uint64_t next_query = 1;
--- a/libs/cell/src/keys.hpp
+++ b/libs/cell/src/keys.hpp
@@ -16,7 +16,8 @@
 constexpr char const* intake = "in/";           //!< jobs and cancellations
 constexpr char const* jobs = "in/job/";
 constexpr char const* cancels = "in/cancel/";
-constexpr char const* progress = "out/";
+constexpr char const* progress = "out/"; //!< of jobs that aren't over
+constexpr char const* ends = "end/";     //!< of jobs that are
 constexpr char const* config = "op/config";
 constexpr char const* workers = "servers/";
 
--- a/libs/cell/src/messages.cpp
+++ b/libs/cell/src/messages.cpp
@@ -38,7 +38,7 @@
 {
     json operator()(job_message const& m) const
     {
-        return json::array({kind_job, to_binary(m.record)});
+        return json::array({kind_job, to_binary(m.record), m.revision});
     }
 
     json operator()(cancel_message const& m) const
@@ -163,7 +163,8 @@
     switch (from.at(0).get<int>())
     {
     case kind_job:
-        return message(job_message{from_binary(from.at(1))});
+        return message(job_message{from_binary(from.at(1)),
+                                   from.at(2).get<std::int64_t>()});
     case kind_cancel:
         return message(cancel_message{from.at(1).get<std::string>()});
     case kind_state_query:
--- a/libs/cell/src/messages.hpp
+++ b/libs/cell/src/messages.hpp
@@ -14,7 +14,8 @@
 /** A job that was just stored, to the placer. */
 struct job_message
 {
-    std::string record; //!< as encode_job() made it
+    std::string record;        //!< as encode_job() made it
+    std::int64_t revision = 0; //!< of the store, when it was written
 
     bool operator==(job_message const&) const = default;
 };
--- a/libs/cell/src/placer.cpp
+++ b/libs/cell/src/placer.cpp
@@ -10,7 +10,7 @@
 namespace
 {
 
-constexpr milliseconds tick_period{20};    //!< leases, repeated orders, saves
+constexpr milliseconds tick_period{10};    //!< leases, repeated orders, saves
 constexpr milliseconds load_period{200};   //!< between load messages
 constexpr milliseconds intake_pause{1000}; //!< entries also tell us directly
 constexpr milliseconds failure_pause{100};
@@ -21,6 +21,27 @@
 constexpr std::size_t order_connections = 4; //!< of about 64 for all daemons
 constexpr milliseconds longest_lease{6000};
 
+/** A job that is over leaves only its end, so that a take-over reads little. */
+void add_record(platform::kv_transaction& change,
+                batch::progress_record const& record)
+{
+    if (!record.over)
+    {
+        change.writes.push_back({keys::progress + record.job, record.bytes, 0});
+        return;
+    }
+    change.writes.push_back({keys::ends + record.job, record.bytes, 0});
+    change.deletes.push_back(keys::jobs + record.job);
+    if (record.cancelled)
+    {
+        change.deletes.push_back(keys::cancels + record.job);
+    }
+    if (record.saved_before)
+    {
+        change.deletes.push_back(keys::progress + record.job);
+    }
+}
+
 } // namespace
 
 placer::placer(context& given,
@@ -157,9 +178,9 @@
     }
     this->loaded = true;
     this->feed(batch::askers_changed{this->askers});
-    for (std::string const& record : this->early_jobs)
+    for (job_message const& told : this->early_jobs)
     {
-        this->feed_record(record);
+        this->take_job(told);
     }
     for (std::string const& id : this->early_cancels)
     {
@@ -196,14 +217,19 @@
     this->feed(told);
 }
 
-void placer::take_job(std::string const& record)
+void placer::take_job(job_message const& told)
 {
     if (!this->loaded)
     {
-        this->early_jobs.push_back(record);
+        this->early_jobs.push_back(told);
         return;
     }
-    this->feed_record(record);
+    // What was stored before the records were read and isn't among them has
+    // ended since: it must not start again.
+    if (told.revision > this->intake_revision)
+    {
+        this->feed_record(told.record);
+    }
 }
 
 void placer::take_cancel(std::string const& job)
@@ -482,10 +508,9 @@
 {
     platform::kv_transaction change;
     change.conditions.push_back({keys::epoch, this->epoch_revision});
-    for (auto const& record : effect.records)
+    for (batch::progress_record const& record : effect.records)
     {
-        change.writes.push_back(
-            {keys::progress + record.first, record.second, 0});
+        add_record(change, record);
     }
     this->shared.store.commit(
         change,
--- a/libs/cell/src/placer.hpp
+++ b/libs/cell/src/placer.hpp
@@ -34,7 +34,7 @@
     void start();
     void stop();
 
-    void take_job(std::string const& record);
+    void take_job(job_message const& told);
     void take_cancel(std::string const& job);
     void take_advice(batch::advice_answered const& answer);
     void set_askers(std::vector<std::string> const& names);
@@ -87,7 +87,7 @@
     std::int64_t intake_revision = 0;
     std::map<std::string, worker_line> lines;
     std::vector<std::string> askers;
-    std::vector<std::string> early_jobs; //!< told before the records were read
+    std::vector<job_message> early_jobs; //!< told before the records were read
     std::vector<std::string> early_cancels;
     bool loaded = false;
     bool stopped = false;
--- a/libs/membership/src/membership.cpp
+++ b/libs/membership/src/membership.cpp
@@ -62,6 +62,10 @@
 
     void operator()(view_changed const& given) const
     {
+        if (given.view.epoch != this->m.view.epoch)
+        {
+            this->m.placer_left = false;
+        }
         this->m.view = given.view;
         this->m.viewed = true;
         std::optional<placer_claim> const& placer = this->m.view.placer;
@@ -75,7 +79,6 @@
         else
         {
             this->m.vacant_since.reset();
-            this->m.placer_left = false;
         }
         if (this->m.placing && placer && !is_self(this->m, *placer) &&
             placer->epoch > *this->m.placing)
