--- a/libs/batch/include/batch/batch.hpp
+++ b/libs/batch/include/batch/batch.hpp
@@ -233,6 +233,7 @@
 {
     job accepted;
     std::optional<job_progress> progress; //!< none: nothing has started
+    std::int64_t progress_revision = 0;   //!< of its record; 0: none
 };
 
 struct cancel_stored
@@ -299,6 +300,10 @@
 {
     std::uint64_t save = 0;
     bool stored = false;
+    std::int64_t revision = 0; //!< of the records, if they are stored
+    /** Records that weren't as expected, with the revision they have: an
+     * earlier save of ours was done without an answer. */
+    std::map<std::string, std::int64_t> found;
 };
 
 /** The daemons that can ask for advice, by name. */
@@ -379,7 +384,7 @@
     std::string bytes;
     bool over = false;         //!< the job has ended: its other records go
     bool cancelled = false;    //!< its cancellation is one of them
-    bool saved_before = false; //!< an earlier progress is one of them
+    std::int64_t expected = 0; //!< revision of its progress; 0: none is stored
 };
 
 /** Stores records, in one transaction. */
--- a/libs/batch/src/jobs.cpp
+++ b/libs/batch/src/jobs.cpp
@@ -162,7 +162,7 @@
     if (given.progress)
     {
         restore(j, *given.progress);
-        j.saved = true;
+        j.saved = given.progress_revision;
     }
     if (!is_over(j.state))
     {
--- a/libs/batch/src/saving.cpp
+++ b/libs/batch/src/saving.cpp
@@ -57,9 +57,9 @@
 {
     if (!record.over)
     {
-        return 1;
+        return 2; // its revision is a condition
     }
-    return 2 + (record.cancelled ? 1 : 0) + (record.saved_before ? 1 : 0);
+    return 2 + (record.cancelled ? 1 : 0) + (record.expected != 0 ? 1 : 0);
 }
 
 /** Changed jobs that aren't being saved already, oldest change first. */
@@ -84,7 +84,7 @@
     record.job = j.accepted.id;
     record.over = is_over(j.state);
     record.cancelled = j.state == job_state::cancelled;
-    record.saved_before = j.saved;
+    record.expected = j.saved;
     record.bytes = encode_progress(progress_of(j));
     return record;
 }
@@ -139,9 +139,14 @@
         {
             job_record& j = s.jobs.at(id);
             j.stored_state = record.state;
-            j.saved = true;
+            j.saved = outcome.revision;
             continue;
         }
+        auto const now_there = outcome.found.find(id);
+        if (now_there != outcome.found.end())
+        {
+            s.jobs.at(id).saved = now_there->second;
+        }
         auto const kept = s.unsaved.emplace(id, record.change);
         kept.first->second = std::min(kept.first->second, record.change);
     }
--- a/libs/batch/src/state.hpp
+++ b/libs/batch/src/state.hpp
@@ -46,6 +46,7 @@
     std::uint64_t lives = 0; //!< seen by this placer
     std::uint64_t token = 0;
     bool looking = false;
+    bool silent = false; //!< the last look failed: its lease isn't extended
     instant next_look;
     std::int64_t clock_ms = 0; //!< of its last answer
     instant clock_at;
@@ -111,7 +112,7 @@
     instant objective; //!< shown as completed by then, it is in time
     milliseconds chain{0};
     std::uint64_t next_run = 1;
-    bool saved = false; //!< some progress of it is in the store
+    std::int64_t saved = 0; //!< revision of its stored progress; 0: none
 };
 
 /** A change on its way to the store. */
--- a/libs/batch/src/workers.cpp
+++ b/libs/batch/src/workers.cpp
@@ -23,7 +23,20 @@
     w.acknowledged = 0;
     w.unsaved.clear();
     w.clock_ms = 0;
-    w.lease_end = s.now;
+}
+
+void lose_run(scheduler& s,
+              worker_record& w,
+              task_ref task, // a copy: the entry that it may name is erased
+              std::string const& why)
+{
+    run_record const lost = w.runs.at(task);
+    log(s,
+        611,
+        "job=" + task.job + " task=" + to_string(task) + " run=" +
+            std::to_string(lost.run) + " worker=" + w.offer.id + " why=" + why);
+    release_run(s, w, task);
+    free_task(s, task, lost.run, lost.checkpoint);
 }
 
 /** Nothing of this worker's runs is left. */
@@ -31,15 +44,7 @@
 {
     while (!w.runs.empty())
     {
-        task_ref const task = w.runs.begin()->first;
-        run_record const lost = w.runs.begin()->second;
-        log(s,
-            611,
-            "job=" + task.job + " task=" + to_string(task) +
-                " run=" + std::to_string(lost.run) + " worker=" + w.offer.id +
-                " why=" + why);
-        release_run(s, w, task);
-        free_task(s, task, lost.run, lost.checkpoint);
+        lose_run(s, w, w.runs.begin()->first, why);
     }
 }
 
@@ -105,6 +110,24 @@
     record.checkpoint = seen.checkpoint;
 }
 
+/**
+ * A run that was given up with its worker's lease turns out to have ended
+ * well: the one that replaced it is called off.
+ */
+void end_other_run(scheduler& s, task_ref const& task, std::uint64_t run)
+{
+    task_record const* const record = find_task(s, task);
+    if (record->phase != task_phase::placed || record->run == run)
+    {
+        return;
+    }
+    auto const w = s.workers.find(record->worker);
+    if (w != s.workers.end())
+    {
+        call_off(s, w->second, task);
+    }
+}
+
 void take_end(scheduler& s, worker_record& w, finished_run const& end)
 {
     auto const found = w.runs.find(end.task);
@@ -118,24 +141,20 @@
     {
         return;
     }
-    bool const current =
-        task->phase == task_phase::placed && task->run == end.run;
     job_record& j = s.jobs.at(end.task.job);
-    task_step const& shape =
-        j.accepted.steps[static_cast<std::size_t>(end.task.step)];
+    bool const gang =
+        j.accepted.steps[static_cast<std::size_t>(end.task.step)].gang;
     if (end.how == run_end::done)
     {
         w.failures = 0;
-        // A newer run elsewhere started only after this life's lease lapsed.
-        if (!current && task->phase != task_phase::waiting)
-        {
-            return;
-        }
-        finish_task(s, end.task);
-        step_record& step = j.steps[static_cast<std::size_t>(end.task.step)];
-        for (std::size_t k = 0; shape.gang && k < step.tasks.size(); ++k)
+        int const members = static_cast<int>(
+            j.steps[static_cast<std::size_t>(end.task.step)].tasks.size());
+        int const first = gang ? 0 : end.task.index;
+        int const last = gang ? members : end.task.index + 1;
+        for (int k = first; k < last; ++k)
         {
-            finish_task(s, {end.task.job, end.task.step, static_cast<int>(k)});
+            end_other_run(s, {end.task.job, end.task.step, k}, end.run);
+            finish_task(s, {end.task.job, end.task.step, k});
         }
         return;
     }
@@ -146,7 +165,10 @@
         {
             w.avoid_until = s.now + unhealthy_pause * w.failures;
         }
-        fail_task(s, end.task, end.run);
+        // A gang fails as a whole: its first member stands for all.
+        fail_task(s,
+                  {end.task.job, end.task.step, gang ? 0 : end.task.index},
+                  end.run);
     }
     free_task(s, end.task, end.run, end.checkpoint);
 }
@@ -179,6 +201,38 @@
     }
 }
 
+/**
+ * The first answer to a raised token: orders with the old one are refused from
+ * now on, so what isn't listed will never run. What is listed may have been
+ * ordered before the restart was noticed.
+ */
+void lose_unlisted(scheduler& s, worker_record& w, worker_report const& report)
+{
+    std::map<task_ref, std::uint64_t> listed;
+    for (active_run const& each : report.active)
+    {
+        listed[each.task] = each.run;
+    }
+    std::vector<task_ref> lost;
+    for (auto& entry : w.runs)
+    {
+        auto const here = listed.find(entry.first);
+        if (here == listed.end() || here->second != entry.second.run)
+        {
+            lost.push_back(entry.first);
+        }
+        entry.second.stop_done.reset();
+    }
+    for (task_ref const& task : lost)
+    {
+        lose_run(s, w, task, "restarted");
+    }
+    for (active_run const& each : report.active)
+    {
+        take_active(s, w, each);
+    }
+}
+
 void check_settled(scheduler& s)
 {
     if (s.settled)
@@ -259,7 +313,6 @@
     w.listed = true;
     if (born > w.life)
     {
-        lose_runs(s, w, "restarted");
         begin_life(s, w, born);
     }
     if (moved)
@@ -288,6 +341,7 @@
     }
     worker_record& w = found->second;
     w.looking = false;
+    w.silent = false;
     if (answer.report.born < w.life)
     {
         w.next_look = s.now + failed_look_pause;
@@ -296,14 +350,14 @@
     w.next_look = s.now + look_pause;
     if (answer.report.born > w.life)
     {
-        lose_runs(s, w, "restarted");
         begin_life(s, w, answer.report.born);
         w.next_look = s.now;
         return;
     }
     w.clock_ms = answer.report.clock_ms;
     w.clock_at = s.now;
-    if (answer.token == w.token && !w.known)
+    bool const newly_known = answer.token == w.token && !w.known;
+    if (newly_known)
     {
         w.known = true;
         w.next_look = s.now;
@@ -323,7 +377,11 @@
     {
         take_active(s, w, each);
     }
-    if (!answer.report.more_finished)
+    if (newly_known)
+    {
+        lose_unlisted(s, w, answer.report);
+    }
+    else if (!answer.report.more_finished)
     {
         drop_vanished(s, w, answer);
     }
@@ -340,6 +398,7 @@
     }
     worker_record& w = found->second;
     w.looking = false;
+    w.silent = true;
     w.next_look = s.now + failed_look_pause;
     if (failure.why == order_outcome::fenced && failure.token == w.token)
     {
@@ -364,7 +423,7 @@
         look.token = w.token;
         look.acknowledged = w.acknowledged;
         look.wait = w.known ? s.settings.look_wait : milliseconds{0};
-        if (w.known)
+        if (w.known && !w.silent)
         {
             look.lease_until = lease_deadline(s, w);
         }
--- /dev/null
+++ b/libs/batch/tests/cell_model.cpp
@@ -0,0 +1,636 @@
+#include "cell_model.hpp"
+
+#include <algorithm>
+
+namespace cicada::batch::model
+{
+
+namespace
+{
+
+constexpr milliseconds tick_span{10};
+constexpr milliseconds zombie_life{4000};
+constexpr milliseconds cut_span{8000};
+constexpr milliseconds silence{500}; //!< until a call counts as unanswered
+
+} // namespace
+
+cell_model::cell_model(model_settings const& given)
+    : settings(given), random(given.seed)
+{
+    for (int i = 0; i < given.workers; ++i)
+    {
+        worker_offer offer;
+        offer.id = "w" + std::to_string(i);
+        offer.service = "svc";
+        offer.where = {"127.0.0.1", static_cast<std::uint16_t>(1000 + i)};
+        offer.capacity = {16'000, 32'768, 0};
+        offer.labels = {"a", "r" + std::to_string(i / 4)};
+        offer.born = this->births++;
+        this->workers.push_back(
+            std::make_unique<worker_model>(offer, this->judge));
+    }
+    this->calm_from = this->now + given.load;
+}
+
+void cell_model::at(milliseconds delay, std::function<void()> what)
+{
+    this->agenda.push(
+        {this->now + delay, this->scheduled_count++, std::move(what)});
+}
+
+milliseconds cell_model::latency()
+{
+    return milliseconds{1 + static_cast<int>(this->random() % 12)};
+}
+
+bool cell_model::chance(double share)
+{
+    double const drawn = static_cast<double>(this->random()) /
+                         static_cast<double>(std::mt19937::max());
+    return drawn < share && this->now < this->calm_from;
+}
+
+void cell_model::run()
+{
+    instant const end = this->calm_from + this->settings.quiet;
+    this->take_over();
+    this->tick();
+    while (!this->agenda.empty() && this->agenda.top().when <= end)
+    {
+        scheduled next = this->agenda.top();
+        this->agenda.pop();
+        this->now = next.when;
+        next.what();
+    }
+    this->judge.settled();
+}
+
+void cell_model::tick()
+{
+    double const share = static_cast<double>(tick_span.count()) / 1000.0;
+    for (std::unique_ptr<worker_model> const& w : this->workers)
+    {
+        w->pass(this->now, tick_span);
+    }
+    this->pass_gangs(tick_span);
+    if (this->chance(this->settings.jobs_per_second * share))
+    {
+        this->hand_in();
+    }
+    if (this->chance(this->settings.trouble.take_overs * share))
+    {
+        this->take_over();
+    }
+    std::size_t const any = this->random() % this->workers.size();
+    if (this->chance(this->settings.trouble.crashes * share))
+    {
+        this->workers[any]->crash(this->births++);
+        worker_offer const offer = this->workers[any]->offer;
+        this->at(milliseconds{500 + this->random() % 3000},
+                 [this, offer]
+                 {
+                     for (std::size_t p = 0; p < this->placers.size(); ++p)
+                     {
+                         this->feed(p, worker_listed{offer});
+                     }
+                 });
+    }
+    if (this->chance(this->settings.trouble.leaves * share))
+    {
+        this->replace_worker(any);
+    }
+    if (this->chance(this->settings.trouble.cuts * share))
+    {
+        worker_model* const w = this->workers[any].get();
+        w->cut = true;
+        this->at(cut_span,
+                 [w]
+                 {
+                     w->cut = false;
+                 });
+    }
+    for (std::size_t p = 0; p < this->placers.size(); ++p)
+    {
+        this->feed(p, time_passed{});
+    }
+    this->at(tick_span,
+             [this]
+             {
+                 this->tick();
+             });
+}
+
+/** Without a word: the list drops it after 4.5 s of silence. */
+void cell_model::replace_worker(std::size_t which)
+{
+    worker_offer offer = this->workers[which]->offer;
+    this->workers[which]->crash(0);
+    this->gone.push_back(std::move(this->workers[which]));
+    std::string const old = offer.id;
+    offer.id = old + "x";
+    offer.born = this->births++;
+    this->workers[which] = std::make_unique<worker_model>(offer, this->judge);
+    this->at(milliseconds{4500},
+             [this, old, offer]
+             {
+                 for (std::size_t p = 0; p < this->placers.size(); ++p)
+                 {
+                     this->feed(p, worker_unlisted{old});
+                     this->feed(p, worker_listed{offer});
+                 }
+             });
+}
+
+/** A gang works only while all members of one run are there. */
+void cell_model::pass_gangs(milliseconds span)
+{
+    struct member
+    {
+        worker_model* w = nullptr;
+        task_ref task;
+    };
+    std::map<std::tuple<std::string, int, std::uint64_t>, std::vector<member>>
+        gangs;
+    for (std::unique_ptr<worker_model> const& w : this->workers)
+    {
+        for (auto const& entry : w->runs)
+        {
+            if (entry.second.gang)
+            {
+                gangs[{entry.first.job, entry.first.step, entry.second.run}]
+                    .push_back({w.get(), entry.first});
+            }
+        }
+    }
+    for (auto const& gang : gangs)
+    {
+        auto const& [id, step, run] = gang.first;
+        auto const open = this->jobs.find(id);
+        std::vector<member> const& members = gang.second;
+        if (open == this->jobs.end() ||
+            static_cast<int>(members.size()) !=
+                open->second.first.steps[static_cast<std::size_t>(step)].count)
+        {
+            continue;
+        }
+        model_run& first = members.front().w->runs.at(members.front().task);
+        first.work_left -= span;
+        if (first.work_left.count() > 0)
+        {
+            continue;
+        }
+        bool const fails = first.fails;
+        for (std::size_t k = 0; k < members.size(); ++k)
+        {
+            run_end const how = !fails   ? run_end::done
+                                : k == 0 ? run_end::failed
+                                         : run_end::broken;
+            members[k].w->end(members[k].task, how);
+        }
+    }
+}
+
+job cell_model::draw_job()
+{
+    job out;
+    char id[17];
+    std::snprintf(id, sizeof id, "%016d", ++this->handed_in);
+    out.id = id;
+    out.spec = "spec";
+    out.queue.name = "q";
+    out.queue.service = "svc";
+    out.queue.priority = static_cast<int>(this->random() % 3);
+    out.queue.max_attempts = 3;
+    out.queue.slack_factor = 3.0;
+    out.queue.target = milliseconds{500};
+    if (this->random() % 2 == 0)
+    {
+        out.queue.advice = advice_terms{8.0, 0.1, milliseconds{1500}};
+    }
+    int const steps = 1 + static_cast<int>(this->random() % 2);
+    for (int i = 0; i < steps; ++i)
+    {
+        task_step step;
+        step.count = 1 + static_cast<int>(this->random() % 5);
+        step.size = {500 + static_cast<int>(this->random() % 4000), 1000, 0};
+        step.estimate = milliseconds{200 + this->random() % 800};
+        step.gang = this->random() % 4 == 0;
+        step.checkpointing = this->random() % 2 == 0;
+        if (i > 0)
+        {
+            step.after = {i - 1};
+        }
+        out.steps.push_back(step);
+    }
+    out.epoch = this->epoch;
+    return out;
+}
+
+void cell_model::hand_in()
+{
+    job const made = this->draw_job();
+    this->revision += 1;
+    this->jobs[made.id] = {made, this->revision};
+    this->judge.handed_in(made);
+    this->tell_job(made.id, this->revision);
+    if (this->chance(this->settings.trouble.duplicates))
+    {
+        std::uint64_t const written = this->revision;
+        this->at(milliseconds{this->random() % 6000},
+                 [this, made, written]
+                 {
+                     std::size_t const p = this->placers.size() - 1;
+                     if (written > this->placers[p].read_at)
+                     {
+                         this->feed(p, job_stored{made, std::nullopt});
+                     }
+                 });
+    }
+    if (this->chance(this->settings.trouble.cancels))
+    {
+        this->at(milliseconds{this->random() % 1500},
+                 [this, id = made.id]
+                 {
+                     if (this->jobs.count(id) == 0)
+                     {
+                         return;
+                     }
+                     this->cancels.insert(id);
+                     this->judge.cancelled(id, this->now);
+                     this->feed(this->placers.size() - 1, cancel_stored{id});
+                 });
+    }
+}
+
+/** The message, and the store's changes in case it is lost. */
+void cell_model::tell_job(std::string const& id, std::uint64_t written)
+{
+    job const made = this->jobs.at(id).first;
+    for (milliseconds delay : {this->latency(), milliseconds{1000}})
+    {
+        this->at(delay,
+                 [this, made, written]
+                 {
+                     for (std::size_t p = 0; p < this->placers.size(); ++p)
+                     {
+                         if (written > this->placers[p].read_at)
+                         {
+                             this->feed(p, job_stored{made, std::nullopt});
+                         }
+                     }
+                 });
+    }
+}
+
+void cell_model::take_over()
+{
+    this->epoch += 1;
+    if (!this->placers.empty())
+    {
+        std::size_t const old = this->placers.size() - 1;
+        this->at(milliseconds{this->random() %
+                              static_cast<unsigned>(zombie_life.count())},
+                 [this, old]
+                 {
+                     this->placers[old].alive = false;
+                 });
+    }
+    scheduler_settings rules;
+    rules.epoch = this->epoch;
+    this->placers.push_back(
+        {make_scheduler(rules, this->now), this->epoch, this->revision, true});
+    std::size_t const p = this->placers.size() - 1;
+    for (auto const& entry : this->jobs)
+    {
+        job_stored told{entry.second.first, std::nullopt};
+        auto const kept = this->progress.find(entry.first);
+        if (kept != this->progress.end())
+        {
+            told.progress = decode_progress(kept->second.first).value();
+            told.progress_revision =
+                static_cast<std::int64_t>(kept->second.second);
+        }
+        this->feed(p, told);
+    }
+    for (std::string const& id : this->cancels)
+    {
+        if (this->jobs.count(id) != 0)
+        {
+            this->feed(p, cancel_stored{id});
+        }
+    }
+    this->feed(p, askers_changed{{"a", "b", "c"}});
+    for (std::unique_ptr<worker_model> const& w : this->workers)
+    {
+        this->feed(p, worker_listed{w->offer});
+    }
+    this->feed(p, workers_complete{});
+}
+
+void cell_model::feed(std::size_t p, event_body body)
+{
+    if (!this->placers[p].alive)
+    {
+        return;
+    }
+    std::vector<effect> const effects =
+        step(*this->placers[p].state, {this->now, std::move(body)});
+    for (effect const& each : effects)
+    {
+        this->deliver(p, each);
+    }
+}
+
+worker_model* cell_model::reach(std::string const& worker)
+{
+    for (std::unique_ptr<worker_model> const& w : this->workers)
+    {
+        if (w->offer.id == worker)
+        {
+            return w->cut ? nullptr : w.get();
+        }
+    }
+    return nullptr;
+}
+
+/** The answer after a while, or silence if it is lost. */
+void cell_model::reply(std::size_t p, event_body answer, event_body silent)
+{
+    bool const lost = this->chance(this->settings.trouble.lost_answer);
+    this->at(lost ? silence : this->latency(),
+             [this, p, body = lost ? std::move(silent) : std::move(answer)]
+             {
+                 this->feed(p, body);
+             });
+}
+
+void cell_model::deliver(std::size_t p, effect const& what)
+{
+    if (std::holds_alternative<give_up_placing>(what))
+    {
+        this->placers[p].alive = false;
+        if (p + 1 == this->placers.size())
+        {
+            this->take_over();
+        }
+        return;
+    }
+    std::visit(
+        [this, p](auto const& each)
+        {
+            using kind = std::decay_t<decltype(each)>;
+            if constexpr (std::is_same_v<kind, look_at>)
+            {
+                this->deliver_look(p, each);
+            }
+            else if constexpr (std::is_same_v<kind, start_task>)
+            {
+                this->deliver_start(p, each);
+            }
+            else if constexpr (std::is_same_v<kind, stop_task>)
+            {
+                this->deliver_stop(p, each);
+            }
+            else if constexpr (std::is_same_v<kind, ask_advice>)
+            {
+                this->deliver_advice(p, each);
+            }
+            else if constexpr (std::is_same_v<kind, save_progress>)
+            {
+                this->deliver_save(p, each);
+            }
+        },
+        what);
+}
+
+void cell_model::deliver_look(std::size_t p, look_at const& look)
+{
+    instant const sent = this->now;
+    this->at(
+        this->latency() +
+            (look.wait.count() > 0 ? milliseconds{40} : milliseconds{0}),
+        [this, p, look, sent]
+        {
+            worker_model* const w = this->reach(look.worker);
+            if (w == nullptr)
+            {
+                this->at(silence,
+                         [this, p, look]
+                         {
+                             this->feed(p,
+                                        look_failed{look.worker,
+                                                    order_outcome::unknown,
+                                                    look.token});
+                         });
+                return;
+            }
+            std::optional<worker_report> const report =
+                w->look(this->now, look);
+            look_failed failed{look.worker, order_outcome::fenced, look.token};
+            if (!report)
+            {
+                this->reply(p, failed, failed);
+                return;
+            }
+            look_failed silent{look.worker, order_outcome::unknown, look.token};
+            this->reply(p,
+                        look_answered{look.worker, look.token, sent, *report},
+                        silent);
+        });
+}
+
+void cell_model::deliver_start(std::size_t p, start_task const& order)
+{
+    start_answered answer{order.worker, order.task, order.run, order.token, {}};
+    start_answered silent = answer;
+    silent.outcome = order_outcome::unknown;
+    std::int64_t const life = [this, &order]
+    {
+        for (auto const& w : this->workers)
+        {
+            if (w->offer.id == order.worker)
+            {
+                return w->offer.born;
+            }
+        }
+        return std::int64_t{0};
+    }();
+    bool const fails = this->chance(this->settings.trouble.task_fails);
+    milliseconds const work{100 + this->random() % 1500};
+    bool const late = this->chance(this->settings.trouble.late_order);
+    auto const carry_out = [this, p, order, fails, work, life](
+                               start_answered given) -> start_answered
+    {
+        worker_model* const w = this->reach(order.worker);
+        job const* shape = nullptr;
+        auto const open = this->jobs.find(order.task.job);
+        if (open != this->jobs.end())
+        {
+            shape = &open->second.first;
+        }
+        bool const same_life = w != nullptr && w->offer.born == life;
+        if (!same_life || shape == nullptr)
+        {
+            given.outcome = order_outcome::unknown;
+            return given;
+        }
+        given.outcome =
+            w->start(this->now,
+                     order,
+                     shape->steps[static_cast<std::size_t>(order.task.step)],
+                     work,
+                     fails);
+        return given;
+    };
+    if (late)
+    {
+        this->at(milliseconds{2000 + this->random() % 10'000},
+                 [carry_out, answer]
+                 {
+                     carry_out(answer);
+                 });
+        this->at(silence,
+                 [this, p, silent]
+                 {
+                     this->feed(p, silent);
+                 });
+        return;
+    }
+    this->at(this->latency(),
+             [this, p, carry_out, answer, silent]
+             {
+                 start_answered const done = carry_out(answer);
+                 this->reply(p, done, silent);
+             });
+}
+
+void cell_model::deliver_stop(std::size_t p, stop_task const& order)
+{
+    stop_answered silent{order.worker,
+                         order.task,
+                         order.run,
+                         order.token,
+                         order_outcome::unknown};
+    this->at(this->latency(),
+             [this, p, order, silent]
+             {
+                 worker_model* const w = this->reach(order.worker);
+                 stop_answered done = silent;
+                 if (w != nullptr)
+                 {
+                     done.outcome = w->stop(this->now, order);
+                 }
+                 this->reply(p, done, silent);
+             });
+}
+
+void cell_model::deliver_advice(std::size_t p, ask_advice const& call)
+{
+    advice_answered answer;
+    answer.call = call.call;
+    answer.asker = call.asker;
+    answer.job = call.job;
+    answer.step = call.step;
+    answer.asked = call.workers;
+    advice_answered silent = answer;
+    answer.answered = true;
+    answer.validity = milliseconds{1500};
+    for (std::string const& worker : call.workers)
+    {
+        std::size_t const drawn = std::hash<std::string>()(
+            call.job + worker + std::to_string(call.step));
+        // Two workers may run every step, or a gang could never run.
+        if (drawn % 10 < 6 || worker.substr(0, 2) == "w0" || worker == "w1")
+        {
+            answer.allowed.push_back({worker, "ticket"});
+        }
+    }
+    this->reply(p, answer, silent);
+}
+
+/** All or nothing, if the epoch and the records are as expected. */
+progress_saved cell_model::store_progress(std::size_t p,
+                                          save_progress const& call)
+{
+    progress_saved outcome;
+    outcome.save = call.save;
+    if (this->placers[p].epoch != this->epoch)
+    {
+        return outcome;
+    }
+    for (progress_record const& record : call.records)
+    {
+        auto const kept = this->progress.find(record.job);
+        std::int64_t const found =
+            kept == this->progress.end()
+                ? 0
+                : static_cast<std::int64_t>(kept->second.second);
+        if (!record.over && found != record.expected)
+        {
+            outcome.found[record.job] = found;
+        }
+    }
+    if (!outcome.found.empty())
+    {
+        return outcome;
+    }
+    this->revision += 1;
+    outcome.stored = true;
+    outcome.revision = static_cast<std::int64_t>(this->revision);
+    for (progress_record const& record : call.records)
+    {
+        job_state const state = decode_progress(record.bytes).value().state;
+        // The end is read before the progress.
+        if (record.over || this->jobs.count(record.job) != 0)
+        {
+            this->judge.shown(record.job, state);
+        }
+        if (record.over)
+        {
+            this->jobs_done += this->jobs.erase(record.job) != 0 ? 1 : 0;
+            this->progress.erase(record.job);
+        }
+        else
+        {
+            this->progress[record.job] = {record.bytes, this->revision};
+        }
+    }
+    return outcome;
+}
+
+void cell_model::deliver_save(std::size_t p, save_progress const& call)
+{
+    progress_saved silent;
+    silent.save = call.save;
+    if (this->chance(this->settings.trouble.late_save))
+    {
+        this->at(milliseconds{1000 + this->random() % 5000},
+                 [this, p, call]
+                 {
+                     this->store_progress(p, call);
+                 });
+        this->at(silence,
+                 [this, p, silent]
+                 {
+                     this->feed(p, silent);
+                 });
+        return;
+    }
+    this->at(this->latency(),
+             [this, p, call, silent]
+             {
+                 bool const unknown =
+                     this->chance(this->settings.trouble.store_unknown);
+                 bool const skipped = unknown && this->random() % 2 == 0;
+                 progress_saved const done =
+                     skipped ? silent : this->store_progress(p, call);
+                 this->at(this->latency(),
+                          [this, p, body = unknown ? silent : done]
+                          {
+                              this->feed(p, body);
+                          });
+             });
+}
+
+} // namespace cicada::batch::model
--- /dev/null
+++ b/libs/batch/tests/worker_model.hpp
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "checker.hpp"
+
+#include <optional>
+
+/** A worker as docs/CONTRACTS.md asks it to be, without a network. */
+namespace cicada::batch::model
+{
+
+struct model_run
+{
+    std::uint64_t run = 0;
+    resources size;
+    milliseconds work_left{0};
+    bool fails = false; //!< ends as failed instead of done
+    bool gang = false;
+    instant began;
+};
+
+class worker_model
+{
+public:
+    worker_model(worker_offer const& offer, checker& judge);
+
+    worker_offer offer;
+    std::uint64_t token = 0;
+
+    /** Takes a start; `fails` and `work` are drawn by the model. */
+    order_outcome start(instant now,
+                        start_task const& order,
+                        task_step const& shape,
+                        milliseconds work,
+                        bool fails);
+    order_outcome stop(instant now, stop_task const& order);
+    /** None: the token is too low. */
+    std::optional<worker_report> look(instant now, look_at const& order);
+
+    /** Everything on it is gone; it comes back with nothing. */
+    void crash(std::int64_t born);
+
+    /** Work goes on by this long; ends runs and lapsed leases. */
+    void pass(instant now, milliseconds span);
+
+    /** A gang's members elsewhere: the model ends them together. */
+    std::map<task_ref, model_run> runs;
+    void end(task_ref const& task, run_end how);
+
+    /** Its own clock, 2% slow. */
+    std::int64_t clock(instant now) const;
+    bool cut = false; //!< nothing reaches it, it runs on
+
+private:
+    void extend(std::optional<std::int64_t> until);
+    resources used() const;
+
+    checker& judge;
+    std::int64_t lease_until = 0;
+    std::uint64_t next_end = 1;
+    std::vector<finished_run> ends;
+    std::map<task_ref, std::uint64_t> refused_up_to;
+};
+
+} // namespace cicada::batch::model
--- a/libs/cell/src/placer.cpp
+++ b/libs/cell/src/placer.cpp
@@ -27,6 +27,9 @@
 {
     if (!record.over)
     {
+        // A save without an answer may be done late, over a newer one.
+        change.conditions.push_back(
+            {keys::progress + record.job, record.expected});
         change.writes.push_back({keys::progress + record.job, record.bytes, 0});
         return;
     }
@@ -36,7 +39,7 @@
     {
         change.deletes.push_back(keys::cancels + record.job);
     }
-    if (record.saved_before)
+    if (record.expected != 0)
     {
         change.deletes.push_back(keys::progress + record.job);
     }
@@ -132,7 +135,7 @@
     settings.epoch = this->epoch;
     settings.lease = std::min(longest_lease, this->shared.settings.lease_limit);
     this->scheduler = batch::make_scheduler(settings, this->shared.now());
-    std::map<std::string, batch::job_progress> known;
+    std::map<std::string, std::pair<batch::job_progress, std::int64_t>> known;
     for (platform::kv_item const& item : progress)
     {
         result<batch::job_progress> read = batch::decode_progress(item.value);
@@ -142,8 +145,9 @@
                 701, "key=" + item.key + " " + describe(read.assume_error()));
             continue;
         }
-        known.emplace(keys::after(item.key, keys::progress),
-                      std::move(read.assume_value()));
+        known.emplace(
+            keys::after(item.key, keys::progress),
+            std::make_pair(std::move(read.assume_value()), item.revision));
     }
     for (platform::kv_item const& item : stored)
     {
@@ -164,7 +168,8 @@
         auto const at = known.find(id);
         if (at != known.end())
         {
-            told.progress = at->second;
+            told.progress = at->second.first;
+            told.progress_revision = at->second.second;
         }
         this->feed(told);
     }
@@ -512,31 +517,52 @@
     {
         add_record(change, record);
     }
-    this->shared.store.commit(
-        change,
-        [self = this->shared_from_this(),
-         save = effect.save](result<platform::kv_committed> const& done)
+    this->shared.store.commit(change,
+                              [self = this->shared_from_this(), call = effect](
+                                  result<platform::kv_committed> const& done)
+                              {
+                                  self->take_save(call, done);
+                              });
+}
+
+void placer::take_save(batch::save_progress const& call,
+                       result<platform::kv_committed> const& done)
+{
+    batch::progress_saved told;
+    told.save = call.save;
+    if (!done.has_value())
+    {
+        this->shared.write(500, "what=save " + describe(done.assume_error()));
+        this->feed(told);
+        return;
+    }
+    platform::kv_committed const& outcome = done.assume_value();
+    told.stored = outcome.outcome == platform::kv_commit::committed;
+    told.revision = outcome.revision;
+    bool superseded = false;
+    for (platform::kv_item const& item : outcome.found)
+    {
+        if (item.key == keys::epoch)
         {
-            bool const stored =
-                done.has_value() &&
-                done.assume_value().outcome == platform::kv_commit::committed;
-            bool const conflict =
-                done.has_value() &&
-                done.assume_value().outcome == platform::kv_commit::conflict;
-            if (!stored)
-            {
-                self->shared.write(500,
-                                   "what=save " +
-                                       (done.has_value()
-                                            ? std::string("conflict")
-                                            : describe(done.assume_error())));
-            }
-            self->feed(batch::progress_saved{save, stored});
-            if (conflict && !self->stopped)
-            {
-                self->ports.superseded();
-            }
-        });
+            superseded = item.revision != this->epoch_revision;
+        }
+        std::string const job = keys::after(item.key, keys::progress);
+        if (!job.empty())
+        {
+            told.found[job] = item.deleted ? 0 : item.revision;
+        }
+    }
+    if (!told.stored)
+    {
+        this->shared.write(500,
+                           "what=save conflict superseded=" +
+                               std::string(superseded ? "yes" : "no"));
+    }
+    this->feed(told);
+    if (superseded && !this->stopped)
+    {
+        this->ports.superseded();
+    }
 }
 
 void placer::carry_out(batch::log_decision const& effect)
--- a/libs/cell/src/placer.hpp
+++ b/libs/cell/src/placer.hpp
@@ -75,6 +75,8 @@
     void carry_out(batch::ask_advice const& effect);
     void carry_out(batch::save_progress const& effect);
     void carry_out(batch::log_decision const& effect);
+    void take_save(batch::save_progress const& call,
+                   result<platform::kv_committed> const& done);
     void carry_out(batch::give_up_placing const& effect);
 
     context& shared;
