--- a/libs/batch/include/batch/batch.hpp
+++ b/libs/batch/include/batch/batch.hpp
@@ -5,6 +5,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <variant>
 #include <vector>
@@ -113,9 +114,10 @@
 struct job_progress
 {
     job_state state = job_state::queued;
-    std::vector<std::vector<bool>> done;                //!< by step and task
-    std::vector<std::vector<int>> failures;             //!< failed runs
-    std::vector<std::vector<std::uint64_t>> failed_run; //!< the last counted
+    std::vector<std::vector<bool>> done; //!< by step and task
+    /** The runs that failed, by step and task. Their ends may be listed again,
+     * in any order, to a placer that takes over. */
+    std::vector<std::vector<std::set<std::uint64_t>>> failed_runs;
 
     bool operator==(job_progress const&) const = default;
 };
--- a/libs/batch/src/jobs.cpp
+++ b/libs/batch/src/jobs.cpp
@@ -75,8 +75,7 @@
         {
             step.tasks[k].phase =
                 progress.done[i][k] ? task_phase::done : task_phase::waiting;
-            step.tasks[k].failures = progress.failures[i][k];
-            step.tasks[k].failed_run = progress.failed_run[i][k];
+            step.tasks[k].failed_runs = progress.failed_runs[i][k];
         }
         count_tasks(step);
     }
@@ -215,21 +214,19 @@
 {
     task_record* const record = find_task(s, task);
     if (record == nullptr || record->phase == task_phase::done ||
-        run <= record->failed_run)
+        !record->failed_runs.insert(run).second)
     {
         return;
     }
     job_record& j = s.jobs.at(task.job);
-    record->failed_run = run;
-    record->failures += 1;
+    int const failures = static_cast<int>(record->failed_runs.size());
     mark_changed(s, j);
     log(s,
         610,
-        "job=" + task.job + " task=" + to_string(task) +
-            " run=" + std::to_string(run) +
-            " failures=" + std::to_string(record->failures) +
+        "job=" + task.job + " task=" + to_string(task) + " run=" +
+            std::to_string(run) + " failures=" + std::to_string(failures) +
             " of=" + std::to_string(j.accepted.queue.max_attempts));
-    if (record->failures >= j.accepted.queue.max_attempts && !is_over(j.state))
+    if (failures >= j.accepted.queue.max_attempts && !is_over(j.state))
     {
         end_job(s, j, job_state::failed);
         log(s, 601, "job=" + task.job + " outcome=failed");
--- a/libs/batch/src/records.cpp
+++ b/libs/batch/src/records.cpp
@@ -157,8 +157,7 @@
     return to_bytes(json{{"v", record_version},
                          {"s", static_cast<int>(progress.state)},
                          {"d", std::move(done)},
-                         {"f", progress.failures},
-                         {"r", progress.failed_run}});
+                         {"f", progress.failed_runs}});
 }
 
 result<job_progress> decode_progress(std::string const& bytes)
@@ -182,8 +181,7 @@
             }
             out.done.push_back(std::move(done));
         }
-        from.at("f").get_to(out.failures);
-        from.at("r").get_to(out.failed_run);
+        from.at("f").get_to(out.failed_runs);
         return out;
     }
     catch (json::exception const& problem)
--- a/libs/batch/src/saving.cpp
+++ b/libs/batch/src/saving.cpp
@@ -17,17 +17,14 @@
     for (step_record const& step : j.steps)
     {
         std::vector<bool> done;
-        std::vector<int> failures;
-        std::vector<std::uint64_t> failed_run;
+        std::vector<std::set<std::uint64_t>> failed_runs;
         for (task_record const& task : step.tasks)
         {
             done.push_back(task.phase == task_phase::done);
-            failures.push_back(task.failures);
-            failed_run.push_back(task.failed_run);
+            failed_runs.push_back(task.failed_runs);
         }
         p.done.push_back(std::move(done));
-        p.failures.push_back(std::move(failures));
-        p.failed_run.push_back(std::move(failed_run));
+        p.failed_runs.push_back(std::move(failed_runs));
     }
     return p;
 }
--- a/libs/batch/src/state.hpp
+++ b/libs/batch/src/state.hpp
@@ -71,8 +71,7 @@
 struct task_record
 {
     task_phase phase = task_phase::waiting;
-    int failures = 0;
-    std::uint64_t failed_run = 0; //!< the last that was counted
+    std::set<std::uint64_t> failed_runs;
     std::string checkpoint;
     std::string worker; //!< while placed
     std::uint64_t run = 0;
--- a/libs/batch/tests/cell_model.cpp
+++ b/libs/batch/tests/cell_model.cpp
@@ -11,6 +11,7 @@
 constexpr milliseconds tick_span{10};
 constexpr milliseconds zombie_life{4000};
 constexpr milliseconds cut_span{8000};
+constexpr milliseconds store_down_span{5000};
 constexpr milliseconds silence{500}; //!< until a call counts as unanswered
 
 } // namespace
@@ -96,6 +97,10 @@
                      }
                  });
     }
+    if (this->chance(this->settings.trouble.store_downs * share))
+    {
+        this->store_up = this->now + store_down_span;
+    }
     if (this->chance(this->settings.trouble.leaves * share))
     {
         this->replace_worker(any);
@@ -555,7 +560,7 @@
 {
     progress_saved outcome;
     outcome.save = call.save;
-    if (this->placers[p].epoch != this->epoch)
+    if (this->placers[p].epoch != this->epoch || this->now < this->store_up)
     {
         return outcome;
     }
--- a/libs/batch/tests/cell_model.hpp
+++ b/libs/batch/tests/cell_model.hpp
@@ -25,6 +25,7 @@
     double crashes = 0.0;       //!< a second, of any worker
     double cuts = 0.0;          //!< a second: a worker is out of reach for 8 s
     double leaves = 0.0;        //!< a second: a worker goes, another comes
+    double store_downs = 0.0;   //!< a second: saves are refused for 5 s
     double late_save = 0.0;     //!< of saves: not answered, done seconds later
     double task_fails = 0.02;   //!< of runs
     double cancels = 0.02;      //!< of jobs
@@ -114,6 +115,7 @@
     std::map<std::string, std::pair<std::string, std::uint64_t>> progress;
     std::set<std::string> cancels;
     std::int64_t births = 1;
+    instant store_up;
     int handed_in = 0;
     std::vector<std::unique_ptr<worker_model>> gone;
 };
--- a/libs/batch/tests/model_test.cpp
+++ b/libs/batch/tests/model_test.cpp
@@ -46,6 +46,9 @@
         trouble_case{"late_orders", {.late_order = 0.06}},
         trouble_case{"store_unknown", {.store_unknown = 0.3}},
         trouble_case{"take_overs", {.take_overs = 0.5}},
+        trouble_case{
+            "store_downs",
+            {.take_overs = 0.3, .store_downs = 0.1, .task_fails = 0.5}},
         trouble_case{"leaving_workers", {.leaves = 0.2}},
         trouble_case{"late_saves",
                      {.take_overs = 0.3, .late_save = 0.2, .task_fails = 0.2}},
