--- /dev/null
+++ b/libs/cell/tests/cell_test.cpp
@@ -0,0 +1,119 @@
+#include "cell/cell.hpp"
+#include "keys.hpp"
+#include "messages.hpp"
+
+#include <gtest/gtest.h>
+
+namespace cicada::cell
+{
+namespace
+{
+
+char const* const good_settings = "[daemon]\n"
+                                  "name = d1\n"
+                                  "zone = z\n"
+                                  "descriptors = 4100\n"
+                                  "stop-limit = 6s\n"
+                                  "future = 1\n"
+                                  "[listen]\n"
+                                  "callers = 127.0.0.1:1\n"
+                                  "readiness = 127.0.0.1:2\n"
+                                  "link = 127.0.0.1:3\n"
+                                  "metrics = 127.0.0.1:4\n"
+                                  "[store]\n"
+                                  "address = 127.0.0.1:5\n"
+                                  "[advisor]\n"
+                                  "address =\n"
+                                  "[workers]\n"
+                                  "lease-limit = 10000ms\n";
+
+TEST(cell_settings_file, is_read_and_unknown_keys_are_passed_over)
+{
+    checked<cell_settings> const read = read_settings(good_settings);
+    ASSERT_TRUE(read.has_value());
+    EXPECT_EQ(read.assume_value().lease_limit, milliseconds{10'000});
+    EXPECT_TRUE(read.assume_value().advisor.host.empty());
+}
+
+TEST(cell_settings_file, names_every_problem_at_once)
+{
+    checked<cell_settings> const read =
+        read_settings("[daemon]\nname = d1\nstop-limit = soon\n");
+    ASSERT_FALSE(read.has_value());
+    EXPECT_EQ(read.assume_error().size(), 7u);
+    EXPECT_EQ(read.assume_error().front().key, "zone");
+}
+
+struct message_case
+{
+    char const* name;
+    message value;
+};
+
+class a_message : public testing::TestWithParam<message_case>
+{
+};
+
+TEST_P(a_message, comes_back_as_it_was_sent)
+{
+    std::string const bytes = encode(GetParam().value);
+    result<message> const read = decode_message(bytes);
+    ASSERT_TRUE(read.has_value());
+    EXPECT_EQ(read.assume_value().index(), GetParam().value.index());
+    EXPECT_EQ(encode(read.assume_value()), bytes);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    kinds,
+    a_message,
+    testing::Values(
+        message_case{"job", job_message{std::string("a\0b", 3), 17}},
+        message_case{"cancel", cancel_message{"j"}},
+        message_case{"query", state_query{5, "j"}},
+        message_case{"state", state_reply{5, batch::job_state::failed}},
+        message_case{"no_state", state_reply{5, std::nullopt}},
+        message_case{"load",
+                     load_message{3, {{{"q", 4}}, {milliseconds{7}}, true}}},
+        message_case{"leaving", leaving_message{}},
+        message_case{"request",
+                     advice_request{{9, "a", "j", 1, {"w"}, milliseconds{8}}}},
+        message_case{"result",
+                     advice_result{{9,
+                                    "a",
+                                    "j",
+                                    1,
+                                    {"w", "x"},
+                                    {{"w", "t"}},
+                                    milliseconds{8},
+                                    true}}}),
+    [](testing::TestParamInfo<message_case> const& info)
+    {
+        return std::string(info.param.name);
+    });
+
+TEST(a_message_that_cannot_be_read, is_an_error)
+{
+    for (std::string const& bytes :
+         {std::string(), std::string("\xff\xff"), std::string("\x81\x18\x63")})
+    {
+        EXPECT_FALSE(decode_message(bytes).has_value());
+    }
+}
+
+TEST(a_view, leaves_out_what_cannot_be_read)
+{
+    std::map<std::string, platform::kv_item> items;
+    membership::member const one{"d1", {"127.0.0.1", 9}, 4};
+    items["cell/daemon/d1"] = {"cell/daemon/d1", encode_member(one), 3, 0};
+    items["cell/daemon/d2"] = {"cell/daemon/d2", "?", 3, 0};
+    items["cell/epoch"] = {"cell/epoch", "12", 8, 0};
+    items["cell/placer"] = {"cell/placer", encode_claim({"d1", 4, 12}), 8, 0};
+    membership::cell_view const view = decode_view(items);
+    EXPECT_EQ(view.members, std::vector<membership::member>{one});
+    EXPECT_EQ(view.epoch, 12u);
+    EXPECT_EQ(view.epoch_revision, 8);
+    EXPECT_EQ(view.placer->epoch, 12u);
+}
+
+} // namespace
+} // namespace cicada::cell
--- /dev/null
+++ b/libs/http/tests/http_test.cpp
@@ -0,0 +1,179 @@
+#include "http/http.hpp"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <gtest/gtest.h>
+
+#include <optional>
+
+namespace cicada
+{
+namespace
+{
+
+namespace asio = boost::asio;
+
+/** A server and a client on one loop. */
+class exchange : public testing::Test
+{
+protected:
+    void start(http_handler handler, http_server_settings settings = {})
+    {
+        this->server.emplace(this->loop, settings, std::move(handler));
+        result<address> const at = this->server->listen({"127.0.0.1", 0});
+        ASSERT_TRUE(at.has_value());
+        this->where = at.assume_value();
+        this->client.emplace(this->loop, this->where, http_client_settings{2});
+    }
+
+    /** Runs the loop until the call has its outcome. */
+    result<http_reply> call(http_request request,
+                            milliseconds limit = milliseconds{2000})
+    {
+        std::optional<result<http_reply>> got;
+        this->client->call(std::move(request),
+                           limit,
+                           [&got](result<http_reply> outcome)
+                           {
+                               got = std::move(outcome);
+                           });
+        while (!got)
+        {
+            this->loop.run_one();
+        }
+        return *got;
+    }
+
+    asio::io_context loop{1};
+    std::optional<http_server> server;
+    std::optional<http_client> client;
+    address where;
+};
+
+void echo(http_request const& request, http_answer const& answer)
+{
+    answer({200, {{"X-Target", request.target}}, request.body});
+}
+
+TEST_F(exchange, carries_method_target_and_body)
+{
+    this->start(echo);
+    result<http_reply> const got =
+        this->call({"POST", "/a?b=1", {}, "some body"});
+    ASSERT_TRUE(got.has_value());
+    EXPECT_EQ(got.assume_value().status, 200);
+    EXPECT_EQ(got.assume_value().body, "some body");
+}
+
+TEST_F(exchange, refuses_a_body_over_the_bound)
+{
+    http_server_settings bounds;
+    bounds.body_bytes = 100;
+    this->start(echo, bounds);
+    result<http_reply> const got =
+        this->call({"POST", "/", {}, std::string(200, 'x')});
+    ASSERT_TRUE(got.has_value());
+    EXPECT_EQ(got.assume_value().status, 413);
+}
+
+TEST_F(exchange, with_a_silent_server_is_unknown)
+{
+    std::vector<http_answer> kept;
+    this->start(
+        [&kept](http_request const&, http_answer answer)
+        {
+            kept.push_back(std::move(answer));
+        });
+    result<http_reply> const got =
+        this->call({"POST", "/", {}, "x"}, milliseconds{60});
+    ASSERT_FALSE(got.has_value());
+    EXPECT_EQ(got.assume_error().code, error_code::unknown);
+}
+
+TEST_F(exchange, with_no_server_is_unavailable)
+{
+    this->start(echo);
+    this->server.reset();
+    http_client other(this->loop, this->where, {1});
+    std::optional<result<http_reply>> got;
+    other.call({"GET", "/", {}, ""},
+               milliseconds{500},
+               [&got](result<http_reply> outcome)
+               {
+                   got = std::move(outcome);
+               });
+    while (!got)
+    {
+        this->loop.run_one();
+    }
+    ASSERT_FALSE(got->has_value());
+    EXPECT_EQ(got->assume_error().code, error_code::unavailable);
+}
+
+TEST_F(exchange, beyond_the_connections_waits_its_turn)
+{
+    std::vector<http_answer> kept;
+    this->start(
+        [&kept](http_request const&, http_answer answer)
+        {
+            kept.push_back(std::move(answer));
+        });
+    int done = 0;
+    for (int i = 0; i < 5; ++i)
+    {
+        this->client->call({"GET", "/", {}, ""},
+                           milliseconds{5000},
+                           [&done](result<http_reply> const& outcome)
+                           {
+                               done += outcome.has_value() ? 1 : 0;
+                           });
+    }
+    std::size_t most = 0;
+    while (done < 5)
+    {
+        this->loop.run_one();
+        most = std::max(most, kept.size());
+        if (kept.size() == 2 || (done >= 4 && !kept.empty()))
+        {
+            for (http_answer const& answer : kept)
+            {
+                answer({200, {}, ""});
+            }
+            kept.clear();
+        }
+    }
+    EXPECT_LE(most, 2u);
+}
+
+TEST_F(exchange, in_progress_is_answered_while_draining)
+{
+    std::optional<http_answer> kept;
+    this->start(
+        [&kept](http_request const&, http_answer answer)
+        {
+            kept = std::move(answer);
+        });
+    std::optional<result<http_reply>> got;
+    this->client->call({"GET", "/", {}, ""},
+                       milliseconds{5000},
+                       [&got](result<http_reply> outcome)
+                       {
+                           got = std::move(outcome);
+                       });
+    while (!kept)
+    {
+        this->loop.run_one();
+    }
+    this->server->drain();
+    EXPECT_EQ(this->server->in_progress(), 1u);
+    (*kept)({200, {}, "late"});
+    while (!got)
+    {
+        this->loop.run_one();
+    }
+    ASSERT_TRUE(got->has_value());
+    EXPECT_EQ(got->assume_value().body, "late");
+    EXPECT_EQ(this->server->in_progress(), 0u);
+}
+
+} // namespace
+} // namespace cicada
--- /dev/null
+++ b/libs/membership/tests/membership_test.cpp
@@ -0,0 +1,221 @@
+#include "membership/membership.hpp"
+
+#include <gtest/gtest.h>
+
+namespace cicada::membership
+{
+namespace
+{
+
+using testing::TestWithParam;
+using testing::Values;
+
+membership_settings settings_of(std::string const& name)
+{
+    membership_settings out;
+    out.self = {name, {"127.0.0.1", 7000}, 5};
+    return out;
+}
+
+cell_view view_of(std::optional<placer_claim> placer,
+                  std::uint64_t epoch,
+                  std::vector<std::string> const& names)
+{
+    cell_view view;
+    view.placer = std::move(placer);
+    view.epoch = epoch;
+    view.epoch_revision = static_cast<std::int64_t>(epoch * 10);
+    for (std::string const& name : names)
+    {
+        view.members.push_back({name, {"127.0.0.1", 7000}, 5});
+    }
+    return view;
+}
+
+/** One daemon, driven by hand. */
+class driven
+{
+public:
+    explicit driven(std::string const& name)
+        : state(make_membership(settings_of(name), this->now))
+    {
+    }
+
+    std::vector<effect> feed(event_body body)
+    {
+        std::vector<effect> const effects =
+            step(this->state, {this->now, std::move(body)});
+        for (effect const& each : effects)
+        {
+            this->claimed =
+                this->claimed || std::holds_alternative<claim_placer>(each);
+        }
+        return effects;
+    }
+
+    /** A registered member with a lease that sees this. */
+    void join(cell_view const& view)
+    {
+        this->feed(view_changed{view});
+        this->feed(lease_granted{77});
+        if (!this->claimed)
+        {
+            this->feed(registered{});
+        }
+    }
+
+    /** Passes time in steps; the time from now to the first claim. */
+    std::optional<milliseconds> time_to_claim(milliseconds limit)
+    {
+        instant const begin = this->now;
+        while (!this->claimed && this->now < begin + limit)
+        {
+            for (effect const& each : this->feed(timer_fired{}))
+            {
+                if (std::holds_alternative<renew_lease>(each))
+                {
+                    this->feed(lease_renewed{});
+                }
+            }
+            this->now += milliseconds{5};
+        }
+        if (!this->claimed)
+        {
+            return std::nullopt;
+        }
+        this->claimed = false;
+        return this->now - begin;
+    }
+
+    bool claimed = false;
+    instant now{milliseconds{50'000}};
+    membership_state state;
+};
+
+template <class T>
+bool has(std::vector<effect> const& effects)
+{
+    for (effect const& each : effects)
+    {
+        if (std::holds_alternative<T>(each))
+        {
+            return true;
+        }
+    }
+    return false;
+}
+
+// ---- when a vacant key is claimed
+
+struct vacancy_case
+{
+    char const* name;
+    char const* self;
+    bool heard_lately;
+    bool said_goodbye;
+    int earliest_ms;
+    int latest_ms;
+};
+
+class a_vacancy : public TestWithParam<vacancy_case>
+{
+};
+
+TEST_P(a_vacancy, is_claimed_in_time)
+{
+    vacancy_case const& c = GetParam();
+    driven d(c.self);
+    d.join(view_of(placer_claim{"b", 9, 3}, 3, {"a", "b", "c"}));
+    if (c.heard_lately)
+    {
+        d.feed(placer_heard{});
+    }
+    if (c.said_goodbye)
+    {
+        d.feed(placer_leaving{});
+    }
+    d.feed(view_changed{view_of(std::nullopt, 3, {"a", "c"})});
+    std::optional<milliseconds> const waited =
+        d.time_to_claim(milliseconds{1000});
+    ASSERT_TRUE(waited);
+    EXPECT_GE(waited->count(), c.earliest_ms);
+    EXPECT_LE(waited->count(), c.latest_ms);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    cases,
+    a_vacancy,
+    Values(vacancy_case{"first_in_rank", "a", false, false, 0, 10},
+           vacancy_case{"second_in_rank", "c", false, false, 20, 40},
+           vacancy_case{"incumbent_may_return", "a", true, false, 300, 320},
+           vacancy_case{"incumbent_left", "a", true, true, 0, 10}),
+    [](testing::TestParamInfo<vacancy_case> const& info)
+    {
+        return std::string(info.param.name);
+    });
+
+// ---- the placer
+
+class a_placer : public testing::Test
+{
+protected:
+    void SetUp() override
+    {
+        this->d.join(view_of(std::nullopt, 3, {"a", "b"}));
+        EXPECT_TRUE(this->d.time_to_claim(milliseconds{500}));
+        EXPECT_TRUE(has<start_placing>(this->d.feed(claim_won{4})));
+        this->d.feed(
+            view_changed{view_of(placer_claim{"a", 5, 4}, 4, {"a", "b"})});
+    }
+
+    driven d{"a"};
+};
+
+TEST_F(a_placer, goes_on_when_its_key_is_gone_and_claims_it_at_once)
+{
+    EXPECT_FALSE(has<stop_placing>(
+        this->d.feed(view_changed{view_of(std::nullopt, 4, {"b"})})));
+    this->d.feed(lease_ended{});
+    this->d.feed(lease_granted{78});
+    std::optional<milliseconds> const waited =
+        this->d.time_to_claim(milliseconds{500});
+    ASSERT_TRUE(waited);
+    EXPECT_LE(waited->count(), 10);
+    EXPECT_FALSE(has<start_placing>(this->d.feed(claim_won{5})));
+    EXPECT_EQ(this->d.state.placing, 5u);
+}
+
+TEST_F(a_placer, stops_when_another_has_a_higher_epoch)
+{
+    EXPECT_TRUE(has<stop_placing>(this->d.feed(
+        view_changed{view_of(placer_claim{"b", 7, 5}, 5, {"a", "b"})})));
+}
+
+TEST_F(a_placer, stops_when_a_worker_fences_it)
+{
+    EXPECT_TRUE(has<stop_placing>(this->d.feed(placer_fenced{})));
+}
+
+TEST_F(a_placer, ends_its_lease_when_it_is_told_to_stop)
+{
+    std::vector<effect> const effects = this->d.feed(stop_wanted{});
+    EXPECT_TRUE(has<stop_placing>(effects));
+    EXPECT_TRUE(has<end_lease>(effects));
+    this->d.feed(view_changed{view_of(std::nullopt, 4, {"b"})});
+    EXPECT_FALSE(this->d.time_to_claim(milliseconds{1000}));
+}
+
+TEST(a_daemon, whose_claim_was_lost_tries_later)
+{
+    driven d("a");
+    d.join(view_of(std::nullopt, 3, {"a"}));
+    ASSERT_TRUE(d.time_to_claim(milliseconds{500}));
+    d.feed(claim_lost{});
+    std::optional<milliseconds> const waited =
+        d.time_to_claim(milliseconds{1000});
+    ASSERT_TRUE(waited);
+    EXPECT_GE(waited->count(), 190);
+}
+
+} // namespace
+} // namespace cicada::membership
