--- a/libs/cell/src/cell.cpp
+++ b/libs/cell/src/cell.cpp
@@ -22,6 +22,7 @@
 
 constexpr milliseconds membership_tick{25};
 constexpr milliseconds store_silence{3000};  //!< then no longer ready
+constexpr milliseconds placer_silence{1000}; //!< the same, without the store
 constexpr milliseconds flush_period{50};     //!< of the log
 constexpr milliseconds leave_rotation{2300}; //!< two probes a second apart
 constexpr milliseconds exit_margin{700};     //!< before the platform kills
@@ -80,6 +81,11 @@
     void take(std::string const& peer, leaving_message const& m);
     void take(std::string const& peer, advice_request const& m);
     void take(std::string const& peer, advice_result const& m);
+    void take(std::string const& peer, relay_request const& m);
+    void take(std::string const& peer, relay_reply const& m);
+    std::string placer_name() const;
+    std::string next_peer(std::set<std::string> const& tried) const;
+    void set_askers();
     bool send(std::string const& daemon, message const& m);
     void send_all(message const& m);
     bool send_to_placer(message const& m);
@@ -104,6 +110,9 @@
     std::shared_ptr<watched_prefix> config_watch;
     std::set<std::string> linked; //!< peers that were dialled
     std::set<std::string> up;     //!< peers that are connected
+    std::string heard_placer;     //!< whose load was heard last
+    std::uint64_t heard_epoch = 0;
+    instant heard_at;
     http_server caller_server;
     http_server probe_server;
     http_server metrics_server;
@@ -168,6 +177,7 @@
                                   [this, peer]
                                   {
                                       this->up.insert(peer);
+                                      this->set_askers();
                                       this->shared.write(200, "peer=" + peer);
                                   });
             },
@@ -178,6 +188,7 @@
                     [this, peer, why]
                     {
                         this->up.erase(peer);
+                        this->set_askers();
                         this->shared.write(
                             201, "peer=" + peer + " why=\"" + why + "\"");
                     });
@@ -204,6 +215,14 @@
                     {
                         return this->placing ? this->placing->state_of(job)
                                              : std::nullopt;
+                    },
+                    [this](std::set<std::string> const& tried)
+                    {
+                        return this->next_peer(tried);
+                    },
+                    [this](std::string const& peer, message const& m)
+                    {
+                        return this->send(peer, m);
                     }});
     if (!given.advisor.host.empty())
     {
@@ -308,6 +327,7 @@
         this->members.settings.lease,
         [this](result<std::int64_t> const& lease)
         {
+            this->shared.note_store(lease.has_value());
             if (!lease.has_value())
             {
                 this->member_step(membership::call_failed{});
@@ -326,12 +346,12 @@
         effect.lease,
         [this, lease = effect.lease](result<bool> const& alive)
         {
+            this->shared.note_store(alive.has_value());
             if (!alive.has_value())
             {
                 this->member_step(membership::call_failed{});
                 return;
             }
-            this->shared.store_heard = this->shared.now();
             if (alive.assume_value())
             {
                 this->member_step(membership::lease_renewed{});
@@ -522,14 +542,12 @@
  * cell all link to all, so that a new placer finds its links open. */
 void cell_daemon::impl::connect_peers()
 {
-    std::vector<std::string> askers;
     std::set<std::string> wanted;
     bool const few = this->members.view.members.size() <= full_mesh_members;
     std::optional<membership::placer_claim> const& claim =
         this->members.view.placer;
     for (membership::member const& each : this->members.view.members)
     {
-        askers.push_back(each.name);
         bool const self = each.name == this->shared.settings.name;
         bool const is_placer = claim && claim->name == each.name;
         if (!self && (few || this->placing || is_placer))
@@ -540,18 +558,60 @@
     }
     for (std::string const& name : this->linked)
     {
-        if (wanted.count(name) == 0)
+        // A daemon that has lost the store may still need its peers.
+        if (wanted.count(name) == 0 && this->up.count(name) != 0)
+        {
+            wanted.insert(name);
+        }
+        else if (wanted.count(name) == 0)
         {
             this->link.disconnect(name);
         }
     }
     this->linked = std::move(wanted);
+    this->set_askers();
+}
+
+/** Whoever is connected can ask the advisor, whatever the store says. */
+void cell_daemon::impl::set_askers()
+{
     if (this->placing)
     {
+        std::vector<std::string> askers(this->up.begin(), this->up.end());
+        askers.push_back(this->shared.settings.name);
+        std::sort(askers.begin(), askers.end());
         this->placing->set_askers(askers);
     }
 }
 
+/** By the store's key or a load message, whichever has the higher epoch. */
+std::string cell_daemon::impl::placer_name() const
+{
+    std::optional<membership::placer_claim> const& claim =
+        this->members.view.placer;
+    bool const heard =
+        this->heard_epoch > 0 && (!claim || this->heard_epoch >= claim->epoch);
+    return heard ? this->heard_placer : claim ? claim->name : "";
+}
+
+std::string
+cell_daemon::impl::next_peer(std::set<std::string> const& tried) const
+{
+    std::string const placer = this->placer_name();
+    if (this->up.count(placer) != 0 && tried.count(placer) == 0)
+    {
+        return placer;
+    }
+    for (std::string const& name : this->up)
+    {
+        if (tried.count(name) == 0)
+        {
+            return name;
+        }
+    }
+    return "";
+}
+
 // ---- messages
 
 bool cell_daemon::impl::send(std::string const& daemon, message const& m)
@@ -597,8 +657,8 @@
     {
         return this->send(this->shared.settings.name, m);
     }
-    return this->members.view.placer &&
-           this->send(this->members.view.placer->name, m);
+    std::string const name = this->placer_name();
+    return !name.empty() && this->send(name, m);
 }
 
 void cell_daemon::impl::take_message(std::string const& peer,
@@ -648,8 +708,32 @@
     this->callers->take_state(m);
 }
 
-void cell_daemon::impl::take(std::string const&, load_message const& m)
+void cell_daemon::impl::take(std::string const&, advice_result const& m)
+{
+    if (this->placing)
+    {
+        this->placing->take_advice(m.answer);
+    }
+}
+
+void cell_daemon::impl::take(std::string const& peer, relay_request const& m)
+{
+    this->callers->serve_relay(peer, m);
+}
+
+void cell_daemon::impl::take(std::string const&, relay_reply const& m)
+{
+    this->callers->take_relay(m);
+}
+
+void cell_daemon::impl::take(std::string const& peer, load_message const& m)
 {
+    if (m.epoch >= this->heard_epoch)
+    {
+        this->heard_epoch = m.epoch;
+        this->heard_placer = peer;
+        this->heard_at = this->shared.now();
+    }
     this->member_step(membership::placer_heard{});
     this->callers->take_load(m);
 }
@@ -697,14 +781,6 @@
         });
 }
 
-void cell_daemon::impl::take(std::string const&, advice_result const& m)
-{
-    if (this->placing)
-    {
-        this->placing->take_advice(m.answer);
-    }
-}
-
 // ---- configuration, probes, metrics
 
 void cell_daemon::impl::take_config(watched_prefix::items const& items)
@@ -739,7 +815,10 @@
 {
     bool const store =
         this->shared.now() < this->shared.store_heard + store_silence;
-    bool const ready = this->shared.config && store && !this->shared.stopping;
+    // Without the store, peers are asked, as long as the placer is heard.
+    bool const peers = this->shared.now() < this->heard_at + placer_silence;
+    bool const ready =
+        this->shared.config && (store || peers) && !this->shared.stopping;
     answer({ready ? 200 : 503, {}, ""});
 }
 
--- a/libs/cell/src/context.hpp
+++ b/libs/cell/src/context.hpp
@@ -22,7 +22,8 @@
     decision_log log;
     platform::kv_client store;
     std::optional<batch::cell_config> config;
-    instant store_heard; //!< of the last answer
+    instant store_heard;  //!< of the last answer
+    instant store_failed; //!< of the last call without a good one
     bool stopping = false;
 
     explicit context(cell_settings const& given)
@@ -43,6 +44,23 @@
             std::chrono::steady_clock::now());
     }
 
+    /** The store's last word to this daemon was none. */
+    bool store_suspect() const
+    {
+        return this->store_failed > this->store_heard;
+    }
+
+    /** Notes whether a call to the store was answered. */
+    void note_store(bool answered)
+    {
+        bool const before = this->store_suspect();
+        (answered ? this->store_heard : this->store_failed) = this->now();
+        if (before != this->store_suspect())
+        {
+            this->write(answered ? 501 : 500, "");
+        }
+    }
+
     void write(int number, std::string const& detail)
     {
         this->log.write(this->now(), number, detail);
--- a/libs/cell/src/entry.cpp
+++ b/libs/cell/src/entry.cpp
@@ -17,8 +17,9 @@
 constexpr milliseconds default_deadline{3000};
 constexpr milliseconds answer_way{40}; //!< kept for the answer's way back
 constexpr milliseconds retry_pause{60};
-/** A store that is known to refuse is tried this long for one job. */
-constexpr milliseconds refused_limit{60};
+
+constexpr std::size_t relay_peers = 3;     //!< asked in turn
+constexpr milliseconds relay_limit{450};   //!< then the next peer
 constexpr milliseconds placer_limit{300};  //!< for a state; then the store
 constexpr milliseconds load_age{1500};     //!< counts may be 2 s old
 constexpr milliseconds outage_retry{1000}; //!< Retry-After with no store
@@ -138,6 +139,13 @@
 
 void entry::enqueue(submission given)
 {
+    if (this->shared.store_suspect() && !given.relayed)
+    {
+        this->relay_submission(
+            std::move(given),
+            {error_code::unavailable, "the store doesn't answer"});
+        return;
+    }
     this->queue.push_back(std::move(given));
     if (this->committing >= commits_at_once || this->flush_set)
     {
@@ -194,6 +202,7 @@
 void entry::take_commit(std::vector<submission> sent,
                         result<platform::kv_committed> const& done)
 {
+    this->shared.note_store(done.has_value());
     if (!done.has_value())
     {
         for (submission& each : sent)
@@ -204,7 +213,6 @@
         }
         return;
     }
-    this->shared.store_heard = this->shared.now();
     platform::kv_committed const& outcome = done.assume_value();
     if (outcome.outcome == platform::kv_commit::committed)
     {
@@ -239,24 +247,39 @@
     }
 }
 
+/** Peers first; then again here, as long as there is doubt and time. */
 void entry::retry(submission given, error const& why)
 {
-    instant const now = this->shared.now();
-    bool const known = !given.doubtful;
-    instant const until =
-        known ? std::min(given.give_up, given.arrived + refused_limit)
-              : given.give_up;
-    if (now + retry_pause < until)
+    if (given.relayed)
     {
-        auto const kept = std::make_shared<submission>(std::move(given));
-        this->shared.after(retry_pause,
-                           [self = this->shared_from_this(), kept]
-                           {
-                               self->enqueue(std::move(*kept));
-                           });
+        given.answer(given.doubtful ? platform::encode_refusal(504, "no answer")
+                                    : unavailable("the store is away"));
         return;
     }
-    if (known)
+    this->relay_submission(std::move(given), why);
+}
+
+void entry::relay_submission(submission given, error const& why)
+{
+    auto const kept = std::make_shared<submission>(std::move(given));
+    this->relay(
+        {0, relay_verb::submit, kept->job.id, kept->record},
+        [self = this->shared_from_this(), kept, why](relay_reply const& told)
+        {
+            if (told.outcome == relay_outcome::done)
+            {
+                kept->answer(platform::encode_accepted());
+                return;
+            }
+            kept->doubtful =
+                kept->doubtful || told.outcome == relay_outcome::unknown;
+            self->give_up_or_wait(std::move(*kept), why);
+        });
+}
+
+void entry::give_up_or_wait(submission given, error const& why)
+{
+    if (!given.doubtful)
     {
         this->shared.write(606,
                            "job=" + given.job.id +
@@ -265,11 +288,160 @@
         given.answer(unavailable("the store is away"));
         return;
     }
+    if (this->shared.now() + retry_pause < given.give_up)
+    {
+        auto const kept = std::make_shared<submission>(std::move(given));
+        this->shared.after(retry_pause,
+                           [self = this->shared_from_this(), kept]
+                           {
+                               self->enqueue(std::move(*kept));
+                           });
+        return;
+    }
     this->shared.write(
         609, "job=" + given.job.id + " why=\"" + describe(why) + "\"");
     given.answer(platform::encode_refusal(504, "the store did not answer"));
 }
 
+// ---- peers
+
+void entry::relay(relay_request request, relay_handler then)
+{
+    std::uint64_t const number = this->next_query++;
+    request.query = number;
+    this->relays[number] = {std::move(request), {}, false, std::move(then)};
+    this->relay_to_next(number);
+}
+
+void entry::relay_to_next(std::uint64_t number)
+{
+    auto const found = this->relays.find(number);
+    if (found == this->relays.end())
+    {
+        return;
+    }
+    open_relay& open = found->second;
+    std::string const peer = open.tried.size() < relay_peers
+                                 ? this->ports.next_peer(open.tried)
+                                 : "";
+    if (peer.empty())
+    {
+        relay_handler const then = std::move(open.then);
+        relay_reply none;
+        none.outcome =
+            open.doubtful ? relay_outcome::unknown : relay_outcome::refused;
+        this->relays.erase(found);
+        then(none);
+        return;
+    }
+    open.tried.insert(peer);
+    if (!this->ports.send(peer, open.request))
+    {
+        this->relay_to_next(number);
+        return;
+    }
+    std::size_t const tries = open.tried.size();
+    this->shared.after(relay_limit,
+                       [self = this->shared_from_this(), number, tries]
+                       {
+                           auto const late = self->relays.find(number);
+                           if (late != self->relays.end() &&
+                               late->second.tried.size() == tries)
+                           {
+                               late->second.doubtful = true;
+                               self->relay_to_next(number);
+                           }
+                       });
+}
+
+void entry::take_relay(relay_reply const& told)
+{
+    auto const found = this->relays.find(told.query);
+    if (found == this->relays.end())
+    {
+        return;
+    }
+    open_relay& open = found->second;
+    bool const settled = told.outcome == relay_outcome::done ||
+                         told.outcome == relay_outcome::absent;
+    if (!settled)
+    {
+        open.doubtful = open.doubtful || told.outcome == relay_outcome::unknown;
+        this->relay_to_next(told.query);
+        return;
+    }
+    relay_handler const then = std::move(open.then);
+    this->relays.erase(found);
+    then(told);
+}
+
+void entry::serve_relay(std::string const& peer, relay_request const& asked)
+{
+    relay_reply reply;
+    reply.query = asked.query;
+    auto const answer = [self = this->shared_from_this(), peer, reply](
+                            relay_outcome outcome, batch::job_state state)
+    {
+        relay_reply told = reply;
+        told.outcome = outcome;
+        told.state = state;
+        self->ports.send(peer, told);
+    };
+    http_answer const by_status = [answer](http_reply const& got)
+    {
+        relay_outcome const outcome =
+            got.status == 200   ? relay_outcome::done
+            : got.status == 410 ? relay_outcome::absent
+            : got.status == 503 ? relay_outcome::refused
+                                : relay_outcome::unknown;
+        answer(outcome, batch::job_state::queued);
+    };
+    if (this->shared.store_suspect())
+    {
+        answer(relay_outcome::refused, batch::job_state::queued);
+        return;
+    }
+    if (asked.verb == relay_verb::cancel)
+    {
+        this->cancel_here(asked.job, by_status, this->shared.now());
+        return;
+    }
+    if (asked.verb == relay_verb::query)
+    {
+        this->find_record(
+            asked.job,
+            [answer](result<stored_record> const& found)
+            {
+                if (!found.has_value())
+                {
+                    answer(relay_outcome::refused, batch::job_state::queued);
+                    return;
+                }
+                stored_record const& record = found.assume_value();
+                answer(record.known ? relay_outcome::done
+                                    : relay_outcome::absent,
+                       record.state);
+            });
+        return;
+    }
+    result<batch::job> read = batch::decode_job(asked.record);
+    if (!read.has_value())
+    {
+        this->shared.write(
+            700, "peer=" + peer + " " + describe(read.assume_error()));
+        answer(relay_outcome::refused, batch::job_state::queued);
+        return;
+    }
+    submission given;
+    given.job = std::move(read.assume_value());
+    given.record = asked.record;
+    given.arrived = this->shared.now();
+    given.give_up = given.arrived;
+    given.relayed = true;
+    given.answer = by_status;
+    this->enqueue(std::move(given));
+}
+
 void entry::accept(submission const& given, std::int64_t revision)
 {
     this->shared.write(
@@ -326,11 +498,12 @@
 void entry::query_store(std::string const& job, http_answer answer)
 {
     this->find_record(job,
-                      [answer](result<stored_record> const& found)
+                      [self = this->shared_from_this(), job, answer](
+                          result<stored_record> const& found)
                       {
                           if (!found.has_value())
                           {
-                              answer(unavailable("the store is away"));
+                              self->relay_query(job, answer);
                               return;
                           }
                           stored_record const& record = found.assume_value();
@@ -344,6 +517,22 @@
                       });
 }
 
+void entry::relay_query(std::string const& job, http_answer answer)
+{
+    this->relay({0, relay_verb::query, job, ""},
+                [answer](relay_reply const& told)
+                {
+                    if (told.outcome == relay_outcome::done)
+                    {
+                        answer(platform::encode_state(told.state));
+                        return;
+                    }
+                    answer(told.outcome == relay_outcome::absent
+                               ? platform::encode_refusal(410, "no such job")
+                               : unavailable("the store is away"));
+                });
+}
+
 /**
  * Reads a job's records: its end, its progress, itself. The end is read last
  * again, as it replaces the others while they are read.
@@ -409,14 +598,26 @@
     instant const give_up = this->shared.now() +
                             call.deadline.value_or(default_deadline) -
                             answer_way;
+    if (this->shared.store_suspect())
+    {
+        this->relay_cancel(call.job, std::move(answer), give_up);
+        return;
+    }
+    this->cancel_here(call.job, std::move(answer), give_up);
+}
+
+void entry::cancel_here(std::string const& job,
+                        http_answer answer,
+                        instant give_up)
+{
     this->find_record(
-        call.job,
-        [self = this->shared_from_this(), job = call.job, answer, give_up](
+        job,
+        [self = this->shared_from_this(), job, answer, give_up](
             result<stored_record> const& found)
         {
             if (!found.has_value())
             {
-                answer(unavailable("the store is away"));
+                self->retry_cancel(job, answer, give_up, found.assume_error());
                 return;
             }
             if (!found.assume_value().known)
@@ -439,29 +640,66 @@
         [self = this->shared_from_this(), job, answer, give_up](
             result<platform::kv_committed> const& done)
         {
-            if (done.has_value())
+            self->shared.note_store(done.has_value());
+            if (!done.has_value())
             {
-                self->shared.write(608, "job=" + job);
-                self->ports.send_to_placer(cancel_message{job});
-                answer(platform::encode_accepted());
-                return;
-            }
-            if (self->shared.now() + retry_pause < give_up)
-            {
-                self->shared.after(retry_pause,
-                                   [self, job, answer, give_up]
-                                   {
-                                       self->store_cancel(job, answer, give_up);
-                                   });
+                self->retry_cancel(job, answer, give_up, done.assume_error());
                 return;
             }
-            self->shared.write(609,
-                               "job=" + job + " what=cancel why=\"" +
-                                   describe(done.assume_error()) + "\"");
-            answer(platform::encode_refusal(504, "the store did not answer"));
+            self->shared.write(608, "job=" + job);
+            self->ports.send_to_placer(cancel_message{job});
+            answer(platform::encode_accepted());
         });
 }
 
+/** A cancellation may be made twice, so peers are asked without more ado. */
+void entry::retry_cancel(std::string const& job,
+                         http_answer answer,
+                         instant give_up,
+                         error const& why)
+{
+    if (this->shared.now() + retry_pause < give_up)
+    {
+        this->relay_cancel(job, std::move(answer), give_up);
+        return;
+    }
+    this->shared.write(
+        609, "job=" + job + " what=cancel why=\"" + describe(why) + "\"");
+    answer(platform::encode_refusal(504, "the store did not answer"));
+}
+
+void entry::relay_cancel(std::string const& job,
+                         http_answer answer,
+                         instant give_up)
+{
+    this->relay({0, relay_verb::cancel, job, ""},
+                [self = this->shared_from_this(), job, answer, give_up](
+                    relay_reply const& told)
+                {
+                    if (told.outcome == relay_outcome::done)
+                    {
+                        answer(platform::encode_accepted());
+                        return;
+                    }
+                    if (told.outcome == relay_outcome::absent)
+                    {
+                        answer(platform::encode_refusal(410, "no such job"));
+                        return;
+                    }
+                    if (self->shared.now() + retry_pause >= give_up)
+                    {
+                        answer(unavailable("the store is away"));
+                        return;
+                    }
+                    self->shared.after(retry_pause,
+                                       [self, job, answer, give_up]
+                                       {
+                                           self->cancel_here(
+                                               job, answer, give_up);
+                                       });
+                });
+}
+
 // ---- counts
 
 void entry::count(platform::caller_call const& call, http_answer answer)
--- a/libs/cell/src/entry.hpp
+++ b/libs/cell/src/entry.hpp
@@ -18,6 +18,9 @@
     /** The placer's answer, if this daemon is the placer. */
     std::function<std::optional<batch::job_state>(std::string const&)>
         own_state;
+    /** The connected peer to try next; empty: none is left. */
+    std::function<std::string(std::set<std::string> const& tried)> next_peer;
+    std::function<bool(std::string const& peer, message const&)> send;
 };
 
 /** Takes callers' requests: stores jobs and cancellations, answers states. */
@@ -30,6 +33,9 @@
 
     void take_load(load_message const& told);
     void take_state(state_reply const& told);
+    /** Does for a peer what its own path to the store can't. */
+    void serve_relay(std::string const& peer, relay_request const& asked);
+    void take_relay(relay_reply const& told);
 
 private:
     struct submission
@@ -39,6 +45,7 @@
         instant arrived;
         instant give_up;       //!< answered by then
         bool doubtful = false; //!< a write may have taken effect
+        bool relayed = false;  //!< for a peer: not handed to another
         http_answer answer;
     };
 
@@ -60,6 +67,20 @@
     void find_record_from(std::vector<std::string> const& order,
                           std::size_t at,
                           std::function<void(result<stored_record>)> then);
+    using relay_handler = std::function<void(relay_reply const&)>;
+
+    /** A request that peers are asked for in turn. */
+    struct open_relay
+    {
+        relay_request request;
+        std::set<std::string> tried;
+        bool doubtful = false; //!< a peer may have done it
+        relay_handler then;
+    };
+
+    void relay(relay_request request, relay_handler then);
+    void relay_to_next(std::uint64_t number);
+    void relay_submission(submission given, error const& why);
     void submit(platform::caller_call const& call,
                 http_request const& request,
                 http_answer answer);
@@ -74,6 +95,16 @@
     void query_store(std::string const& job, http_answer answer);
     void cancel(platform::caller_call const& call, http_answer answer);
     void
+    cancel_here(std::string const& job, http_answer answer, instant give_up);
+    void retry_cancel(std::string const& job,
+                      http_answer answer,
+                      instant give_up,
+                      error const& why);
+    void
+    relay_cancel(std::string const& job, http_answer answer, instant give_up);
+    void relay_query(std::string const& job, http_answer answer);
+    void give_up_or_wait(submission given, error const& why);
+    void
     store_cancel(std::string const& job, http_answer answer, instant give_up);
     void count(platform::caller_call const& call, http_answer answer);
     bool load_is_fresh() const;
@@ -84,6 +115,7 @@
     int committing = 0; //!< transactions on their way
     bool flush_set = false;
     std::map<std::uint64_t, open_query> queries;
+    std::map<std::uint64_t, open_relay> relays;
     std::uint64_t next_query = 1;
     std::optional<batch::load_report> load;
     instant load_at;
--- a/libs/cell/src/messages.cpp
+++ b/libs/cell/src/messages.cpp
@@ -20,7 +20,9 @@
     kind_load,
     kind_leaving,
     kind_advice_request,
-    kind_advice_result
+    kind_advice_result,
+    kind_relay_request,
+    kind_relay_reply
 };
 
 json to_binary(std::string const& bytes)
@@ -101,6 +103,23 @@
                             m.answer.validity.count(),
                             m.answer.answered});
     }
+
+    json operator()(relay_request const& m) const
+    {
+        return json::array({kind_relay_request,
+                            m.query,
+                            static_cast<int>(m.verb),
+                            m.job,
+                            to_binary(m.record)});
+    }
+
+    json operator()(relay_reply const& m) const
+    {
+        return json::array({kind_relay_reply,
+                            m.query,
+                            static_cast<int>(m.outcome),
+                            static_cast<int>(m.state)});
+    }
 };
 
 load_message decode_load(json const& from)
@@ -158,6 +177,50 @@
     return m;
 }
 
+/** Errors: invalid_input if it is none of an enumeration's values. */
+template <class Enum>
+result<Enum> decode_enum(json const& from, Enum last)
+{
+    int const value = from.get<int>();
+    if (value < 0 || value > static_cast<int>(last))
+    {
+        return error{error_code::invalid_input, "no such value"};
+    }
+    return static_cast<Enum>(value);
+}
+
+result<message> decode_relay_request(json const& from)
+{
+    relay_request m;
+    from.at(1).get_to(m.query);
+    result<relay_verb> const verb = decode_enum(from.at(2), relay_verb::query);
+    if (!verb.has_value())
+    {
+        return verb.assume_error();
+    }
+    m.verb = verb.assume_value();
+    from.at(3).get_to(m.job);
+    m.record = from_binary(from.at(4));
+    return message(m);
+}
+
+result<message> decode_relay_reply(json const& from)
+{
+    relay_reply m;
+    from.at(1).get_to(m.query);
+    result<relay_outcome> const outcome =
+        decode_enum(from.at(2), relay_outcome::unknown);
+    result<batch::job_state> const state =
+        decode_enum(from.at(3), batch::job_state::cancelled);
+    if (!outcome.has_value() || !state.has_value())
+    {
+        return error{error_code::invalid_input, "no such outcome or state"};
+    }
+    m.outcome = outcome.assume_value();
+    m.state = state.assume_value();
+    return message(m);
+}
+
 result<message> decode_kind(json const& from)
 {
     switch (from.at(0).get<int>())
@@ -180,6 +243,10 @@
         return message(decode_request(from));
     case kind_advice_result:
         return message(decode_result(from));
+    case kind_relay_request:
+        return decode_relay_request(from);
+    case kind_relay_reply:
+        return decode_relay_reply(from);
     default:
         return error{error_code::invalid_input, "no such kind of message"};
     }
--- a/libs/cell/src/messages.hpp
+++ b/libs/cell/src/messages.hpp
@@ -67,6 +67,42 @@
     batch::advice_answered answer;
 };
 
+/** What a daemon whose own path to the store fails asks of a peer. */
+enum class relay_verb
+{
+    submit,
+    cancel,
+    query
+};
+
+struct relay_request
+{
+    std::uint64_t query = 0;
+    relay_verb verb = relay_verb::submit;
+    std::string job;
+    std::string record; //!< of a submission
+
+    bool operator==(relay_request const&) const = default;
+};
+
+/** What became of it. */
+enum class relay_outcome
+{
+    done,    //!< stored, or the state was read
+    absent,  //!< there is no such job
+    refused, //!< nothing was done
+    unknown  //!< it may be done, now or later
+};
+
+struct relay_reply
+{
+    std::uint64_t query = 0;
+    relay_outcome outcome = relay_outcome::refused;
+    batch::job_state state = batch::job_state::queued; //!< of a query
+
+    bool operator==(relay_reply const&) const = default;
+};
+
 using message = std::variant<job_message,
                              cancel_message,
                              state_query,
@@ -74,7 +110,9 @@
                              load_message,
                              leaving_message,
                              advice_request,
-                             advice_result>;
+                             advice_result,
+                             relay_request,
+                             relay_reply>;
 
 std::string encode(message const& value);
 
--- a/libs/cell/src/watched_prefix.cpp
+++ b/libs/cell/src/watched_prefix.cpp
@@ -6,7 +6,7 @@
 namespace
 {
 
-constexpr milliseconds watch_wait{5000}; //!< a silent connection costs this
+constexpr milliseconds watch_wait{3000}; //!< a silent connection costs this
 constexpr milliseconds failure_pause{200};
 
 } // namespace
@@ -52,6 +52,7 @@
             {
                 return;
             }
+            self->shared.note_store(page.has_value());
             if (!page.has_value())
             {
                 self->shared.after(failure_pause,
@@ -61,7 +62,6 @@
                                    });
                 return;
             }
-            self->shared.store_heard = self->shared.now();
             self->take_page(std::move(page.assume_value()));
         });
 }
@@ -114,6 +114,7 @@
             {
                 return;
             }
+            self->shared.note_store(got.has_value());
             if (!got.has_value())
             {
                 self->shared.after(failure_pause,
@@ -123,7 +124,6 @@
                                    });
                 return;
             }
-            self->shared.store_heard = self->shared.now();
             if (got.assume_value().history_lost)
             {
                 self->read_all();
--- a/libs/cell/tests/cell_test.cpp
+++ b/libs/cell/tests/cell_test.cpp
@@ -75,6 +75,11 @@
         message_case{"load",
                      load_message{3, {{{"q", 4}}, {milliseconds{7}}, true}}},
         message_case{"leaving", leaving_message{}},
+        message_case{"relay",
+                     relay_request{4, relay_verb::cancel, "j", "bytes"}},
+        message_case{
+            "relayed",
+            relay_reply{4, relay_outcome::done, batch::job_state::failed}},
         message_case{"request",
                      advice_request{{9, "a", "j", 1, {"w"}, milliseconds{8}}}},
         message_case{"result",
--- a/libs/decision_log/src/decision_log.cpp
+++ b/libs/decision_log/src/decision_log.cpp
@@ -15,6 +15,7 @@
 {
 
 constexpr int lines_left_out_event = 120;
+constexpr std::size_t piece_bytes = 4000; //!< a pipe's atomic write is 4096
 
 std::string const& name_of(int number)
 {
@@ -97,12 +98,27 @@
     {
         return;
     }
-    ssize_t const taken = ::write(
-        this->settings.descriptor, this->buffer.data(), this->buffer.size());
-    if (taken > 0)
+    // Whole lines in small pieces: a pipe takes them unbroken.
+    std::size_t done = 0;
+    while (done < this->buffer.size())
     {
-        this->buffer.erase(0, static_cast<std::size_t>(taken));
+        std::size_t const limit =
+            std::min(done + piece_bytes, this->buffer.size());
+        std::size_t end = limit;
+        if (limit < this->buffer.size())
+        {
+            std::size_t const line = this->buffer.rfind('\n', limit - 1);
+            end = line == std::string::npos || line < done ? limit : line + 1;
+        }
+        ssize_t const taken = ::write(
+            this->settings.descriptor, this->buffer.data() + done, end - done);
+        if (taken <= 0)
+        {
+            break;
+        }
+        done += static_cast<std::size_t>(taken);
     }
+    this->buffer.erase(0, done);
 }
 
 std::uint64_t decision_log::left_out() const
