Preempt for gangs that press, and replace a dead placer at once

A daemon whose link to the placer closes and stays closed for 0.2 s takes the key over; a gang with under 3 s of slack stops such runs on the workers that are kept for it.

Failed try: preempting for urgent single tasks as well.

--- a/libs/batch/include/batch/batch.hpp
+++ b/libs/batch/include/batch/batch.hpp
@@ -426,7 +426,7 @@
     milliseconds look_wait{1000};  //!< a look waits this long for an end
     milliseconds resend{150};      //!< between tries of an unanswered order
     int tries = 3;                 //!< of a start before it is called off
-    milliseconds save_pause{60};   //!< between saves, to gather changes
+    milliseconds save_pause{25};   //!< between saves, to gather changes
     milliseconds place_pause{10};  //!< between passes, to gather changes
     std::size_t saves_at_once = 6; //!< a slow store answers after 0.3 s
 };
--- a/libs/batch/src/batch.cpp
+++ b/libs/batch/src/batch.cpp
@@ -8,6 +8,8 @@
 namespace
 {
 
+constexpr milliseconds idle_place_pause{40}; //!< between passes without events
+
 struct dispatcher
 {
     scheduler& s;
@@ -15,6 +17,11 @@
     void operator()(time_passed const&) const
     {
         lapse_workers(this->s);
+        // Askers, tickets and avoided workers are free again with time alone.
+        if (this->s.now >= this->s.next_place + idle_place_pause)
+        {
+            this->s.place_wanted = true;
+        }
     }
 
     void operator()(worker_listed const& given) const
--- a/libs/batch/src/placing.cpp
+++ b/libs/batch/src/placing.cpp
@@ -13,6 +13,8 @@
 constexpr int most_workers_asked = 100;    //!< the advisor's bound of one call
 constexpr int least_workers_asked = 8;
 constexpr std::size_t steps_per_pass = 150; //!< bounds one pass's time
+constexpr milliseconds least_run{300};      //!< before a run may be preempted
+constexpr milliseconds gang_patience{3000}; //!< slack kept by preempting
 constexpr int asked_per_task = 3; //!< about the inverse of the share allowed
 
 /** A step with tasks to place, in the order of placing. */
@@ -115,6 +117,7 @@
 {
     worker_record* w = nullptr;
     resources free;        //!< less what steps before have asked advice for
+    resources leaving;     //!< of runs that are being stopped
     bool reserved = false; //!< a gang waits for it
 };
 
@@ -133,7 +136,14 @@
         worker_record& w = entry.second;
         if (usable(s, w))
         {
-            slot next{&w, w.offer.capacity - w.used, false};
+            slot next{&w, w.offer.capacity - w.used, {}, false};
+            for (auto const& run : w.runs)
+            {
+                if (run.second.phase == run_phase::stopping)
+                {
+                    next.leaving = next.leaving + run.second.size;
+                }
+            }
             room.most_cores = std::max(room.most_cores, next.free.milli_cores);
             room.slots.push_back(next);
         }
@@ -214,6 +224,71 @@
     return w.offer.labels.size() > 1 ? w.offer.labels[1] : "";
 }
 
+/** Runs that may be stopped for the step: less urgent, and they lose little. */
+std::vector<task_ref>
+victims_on(scheduler const& s, worker_record const& w, job_record const& j)
+{
+    std::vector<task_ref> found;
+    for (auto const& entry : w.runs)
+    {
+        auto const of = s.jobs.find(entry.first.job);
+        if (of == s.jobs.end() || entry.second.phase != run_phase::running)
+        {
+            continue;
+        }
+        task_step const& shape =
+            of->second.accepted
+                .steps[static_cast<std::size_t>(entry.first.step)];
+        bool const less_urgent =
+            of->second.accepted.queue.priority > j.accepted.queue.priority;
+        if (less_urgent && shape.checkpointing && !shape.gang &&
+            s.now >= entry.second.started + least_run)
+        {
+            found.push_back(entry.first);
+        }
+    }
+    return found;
+}
+
+/**
+ * Stops less urgent runs on one worker until `count` tasks of the step fit.
+ * Changes nothing and answers false if that would not do.
+ */
+bool preempt_on(scheduler& s, slot& at, job_record& j, int step, int count)
+{
+    task_step const& shape = j.accepted.steps[static_cast<std::size_t>(step)];
+    resources const needed = shape.size * count;
+    resources room = at.free + at.leaving;
+    std::vector<task_ref> stopped;
+    if (!fits(needed, room))
+    {
+        for (task_ref const& victim : victims_on(s, *at.w, j))
+        {
+            room = room + at.w->runs.at(victim).size;
+            stopped.push_back(victim);
+            if (fits(needed, room))
+            {
+                break;
+            }
+        }
+    }
+    if (!fits(needed, room))
+    {
+        return false;
+    }
+    for (task_ref const& victim : stopped)
+    {
+        log(s,
+            603,
+            "job=" + victim.job + " task=" + to_string(victim) +
+                " worker=" + at.w->offer.id + " for=" + j.accepted.id);
+        at.leaving = at.leaving + at.w->runs.at(victim).size;
+        call_off(s, *at.w, victim);
+    }
+    at.free = at.free - needed; // kept for this step, also once it is free
+    return true;
+}
+
 /** Splits the workers with room by what must be done before they are used. */
 struct choices
 {
@@ -246,6 +321,7 @@
         {
             found.unasked.push_back(c);
         }
+
         else if (can == standing::ready && fits > 0)
         {
             found.ready.push_back(c);
@@ -414,6 +490,7 @@
         allowed.emplace_back(free_at, &each);
     }
     std::sort(allowed.begin(), allowed.end());
+    bool const pressing = at.latest_start < s.now + gang_patience;
     std::int64_t tasks = 0;
     for (auto const& each : allowed)
     {
@@ -421,9 +498,16 @@
         {
             return;
         }
-        tasks +=
-            each.second->w->offer.capacity.milli_cores / shape.size.milli_cores;
+        int const here = static_cast<int>(
+            std::min(shape.count - tasks,
+                     each.second->w->offer.capacity.milli_cores /
+                         shape.size.milli_cores));
+        tasks += here;
         each.second->reserved = true;
+        if (pressing && here > 0)
+        {
+            preempt_on(s, *each.second, j, at.step, here);
+        }
     }
 }
 
--- a/libs/batch/src/workers.cpp
+++ b/libs/batch/src/workers.cpp
@@ -8,7 +8,7 @@
 namespace
 {
 
-constexpr milliseconds look_pause{40}; //!< gathers ends into one answer
+constexpr milliseconds look_pause{20}; //!< gathers ends into one answer
 constexpr milliseconds failed_look_pause{200};
 constexpr milliseconds unhealthy_pause{1000}; //!< per failure on end
 constexpr int most_failures_counted = 5;
--- a/libs/cell/src/cell.cpp
+++ b/libs/cell/src/cell.cpp
@@ -86,6 +86,7 @@
     std::string placer_name() const;
     std::string next_peer(std::set<std::string> const& tried) const;
     void set_askers();
+    void note_placer_link(std::string const& peer, bool is_up);
     bool send(std::string const& daemon, message const& m);
     void send_all(message const& m);
     bool send_to_placer(message const& m);
@@ -178,6 +179,7 @@
                                   {
                                       this->up.insert(peer);
                                       this->set_askers();
+                                      this->note_placer_link(peer, true);
                                       this->shared.write(200, "peer=" + peer);
                                   });
             },
@@ -189,6 +191,7 @@
                     {
                         this->up.erase(peer);
                         this->set_askers();
+                        this->note_placer_link(peer, false);
                         this->shared.write(
                             201, "peer=" + peer + " why=\"" + why + "\"");
                     });
@@ -403,7 +406,7 @@
 void cell_daemon::impl::do_effect(membership::claim_placer const& effect)
 {
     platform::kv_transaction change;
-    change.conditions = {{keys::placer, 0},
+    change.conditions = {{keys::placer, effect.placer_revision},
                          {keys::epoch, effect.epoch_revision}};
     change.writes = {
         {keys::placer,
@@ -584,6 +587,14 @@
     }
 }
 
+void cell_daemon::impl::note_placer_link(std::string const& peer, bool is_up)
+{
+    if (peer == this->placer_name())
+    {
+        this->member_step(membership::placer_link{is_up});
+    }
+}
+
 /** By the store's key or a load message, whichever has the higher epoch. */
 std::string cell_daemon::impl::placer_name() const
 {
--- a/libs/cell/src/keys.cpp
+++ b/libs/cell/src/keys.cpp
@@ -86,6 +86,7 @@
         else if (item.key == keys::placer)
         {
             view.placer = decode_claim(item.value);
+            view.placer_revision = item.revision;
         }
         else if (item.key == keys::epoch)
         {
--- a/libs/cell/src/placer.cpp
+++ b/libs/cell/src/placer.cpp
@@ -13,6 +13,7 @@
 constexpr milliseconds tick_period{10};    //!< leases, repeated orders, saves
 constexpr milliseconds load_period{200};   //!< between load messages
 constexpr milliseconds intake_pause{1000}; //!< entries also tell us directly
+constexpr milliseconds list_pause{100};    //!< 48 workers write every 1.5 s
 constexpr milliseconds failure_pause{100};
 constexpr milliseconds order_limit{500};     //!< a calm answer takes 10 ms
 constexpr milliseconds look_slack{700};      //!< beyond a look's wait
@@ -308,7 +309,7 @@
     this->workers = std::make_shared<watched_prefix>(
         this->shared,
         keys::workers,
-        milliseconds{0},
+        list_pause,
         [self](watched_prefix::items const& items,
                std::vector<std::string> const& changed)
         {
--- a/libs/membership/include/membership/membership.hpp
+++ b/libs/membership/include/membership/membership.hpp
@@ -41,7 +41,8 @@
 struct cell_view
 {
     std::optional<placer_claim> placer;
-    std::uint64_t epoch = 0; //!< the last one given out
+    std::int64_t placer_revision = 0; //!< of its key; 0: absent
+    std::uint64_t epoch = 0;          //!< the last one given out
     std::int64_t epoch_revision = 0;
     std::vector<member> members; //!< by name
 
@@ -51,9 +52,10 @@
 struct membership_settings
 {
     member self;
-    milliseconds lease{1500};         //!< of the store
-    milliseconds renewal{400};        //!< a third of it and less
+    milliseconds lease{1000};         //!< of the store; its least
+    milliseconds renewal{250};        //!< a fourth of it
     milliseconds incumbent_lead{300}; //!< others wait while it may reclaim
+    milliseconds link_patience{200};  //!< a living placer links again
     milliseconds rank_pause{25};      //!< between daemons that would claim
     milliseconds retry{200};          //!< after a call that failed
 };
@@ -106,6 +108,12 @@
 {
 };
 
+/** The link to the placer was closed by its end, or opened again. */
+struct placer_link
+{
+    bool up = false;
+};
+
 /** The placer said that it is stopping. */
 struct placer_leaving
 {
@@ -130,6 +138,7 @@
                                 claim_won,
                                 claim_lost,
                                 placer_heard,
+                                placer_link,
                                 placer_leaving,
                                 placer_fenced,
                                 stop_wanted>;
@@ -162,12 +171,13 @@
     std::int64_t lease = 0;
 };
 
-/** Writes the placer's key, if absent, and the next epoch, if unchanged. */
+/** Writes the placer's key and the next epoch, if both are unchanged. */
 struct claim_placer
 {
     std::int64_t lease = 0;
     std::uint64_t epoch = 0;
     std::int64_t epoch_revision = 0;
+    std::int64_t placer_revision = 0; //!< 0: the key is vacant
 };
 
 struct start_placing
@@ -205,6 +215,7 @@
     std::optional<instant> vacant_since;
     instant placer_heard_at;
     bool placer_left = false;
+    std::optional<instant> placer_lost; //!< its link was closed since
     bool stopping = false;
 };
 
--- a/libs/membership/src/membership.cpp
+++ b/libs/membership/src/membership.cpp
@@ -28,8 +28,20 @@
     return rank;
 }
 
+/** The placer's process is gone, though its lease has not run out. */
+bool placer_is_gone(membership_state const& m, instant now)
+{
+    return m.placer_lost && m.view.placer && !is_self(m, *m.view.placer) &&
+           now >= *m.placer_lost + m.settings.link_patience +
+                      m.settings.rank_pause * rank_of(m);
+}
+
 bool may_claim(membership_state const& m, instant now)
 {
+    if (!m.stopping && !m.placing && placer_is_gone(m, now))
+    {
+        return true;
+    }
     if (!m.vacant_since || m.stopping || m.view.placer)
     {
         return false;
@@ -64,6 +76,7 @@
     {
         if (given.view.epoch != this->m.view.epoch)
         {
+            this->m.placer_lost.reset();
             this->m.placer_left = false;
         }
         this->m.view = given.view;
@@ -151,6 +164,19 @@
     void operator()(placer_heard const&) const
     {
         this->m.placer_heard_at = this->now;
+        this->m.placer_lost.reset();
+    }
+
+    void operator()(placer_link const& given) const
+    {
+        if (given.up)
+        {
+            this->m.placer_lost.reset();
+        }
+        else if (!this->m.placer_lost)
+        {
+            this->m.placer_lost = this->now;
+        }
     }
 
     void operator()(placer_leaving const&) const
@@ -212,8 +238,10 @@
     else if (m.viewed && may_claim(m, now))
     {
         m.calling = true;
-        out.emplace_back(
-            claim_placer{m.lease, m.view.epoch + 1, m.view.epoch_revision});
+        out.emplace_back(claim_placer{m.lease,
+                                      m.view.epoch + 1,
+                                      m.view.epoch_revision,
+                                      m.view.placer_revision});
     }
     else if (!m.registered)
     {
--- a/libs/membership/tests/membership_test.cpp
+++ b/libs/membership/tests/membership_test.cpp
@@ -205,6 +205,53 @@
     EXPECT_FALSE(this->d.time_to_claim(milliseconds{1000}));
 }
 
+struct lost_link_case
+{
+    char const* name;
+    bool links_again;
+    bool speaks_again;
+    bool claimed;
+};
+
+class a_lost_link : public TestWithParam<lost_link_case>
+{
+};
+
+TEST_P(a_lost_link, to_the_placer_is_a_death_unless_it_is_back)
+{
+    lost_link_case const& c = GetParam();
+    driven d("a");
+    cell_view view = view_of(placer_claim{"b", 9, 3}, 3, {"a", "b", "c"});
+    view.placer_revision = 40;
+    d.join(view);
+    d.feed(placer_heard{});
+    d.feed(placer_link{false});
+    d.now += milliseconds{100};
+    if (c.links_again)
+    {
+        d.feed(placer_link{true});
+    }
+    if (c.speaks_again)
+    {
+        d.feed(placer_heard{});
+    }
+    std::optional<milliseconds> const waited =
+        d.time_to_claim(milliseconds{900});
+    EXPECT_EQ(waited.has_value(), c.claimed);
+    EXPECT_TRUE(!waited || *waited <= milliseconds{110});
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    cases,
+    a_lost_link,
+    Values(lost_link_case{"gone", false, false, true},
+           lost_link_case{"linked_again", true, false, false},
+           lost_link_case{"heard_again", false, true, false}),
+    [](testing::TestParamInfo<lost_link_case> const& info)
+    {
+        return std::string(info.param.name);
+    });
+
 TEST(a_daemon, whose_claim_was_lost_tries_later)
 {
     driven d("a");
