--- a/libs/batch/src/workers.cpp
+++ b/libs/batch/src/workers.cpp
@@ -421,7 +421,8 @@
         look.worker = w.offer.id;
         look.where = w.offer.where;
         look.token = w.token;
-        look.acknowledged = w.acknowledged;
+        // A worker that was silent may have restarted and number its ends anew.
+        look.acknowledged = w.silent ? 0 : w.acknowledged;
         look.wait = w.known ? s.settings.look_wait : milliseconds{0};
         if (w.known && !w.silent)
         {
--- a/libs/batch/tests/cell_model.cpp
+++ b/libs/batch/tests/cell_model.cpp
@@ -412,13 +412,16 @@
 void cell_model::deliver_look(std::size_t p, look_at const& look)
 {
     instant const sent = this->now;
+    worker_model const* const target = this->reach(look.worker);
+    std::int64_t const life = target == nullptr ? 0 : target->offer.born;
     this->at(
         this->latency() +
             (look.wait.count() > 0 ? milliseconds{40} : milliseconds{0}),
-        [this, p, look, sent]
+        [this, p, look, sent, life]
         {
+            // A connection ends with the process that it led to.
             worker_model* const w = this->reach(look.worker);
-            if (w == nullptr)
+            if (w == nullptr || w->offer.born != life)
             {
                 this->at(silence,
                          [this, p, look]
--- a/libs/cell/src/cell.cpp
+++ b/libs/cell/src/cell.cpp
@@ -148,15 +148,14 @@
       incarnation(random_number()),
       caller_server(this->shared.loop,
                     caller_bounds(given),
-                    [this](http_request request, http_answer answer)
+                    [this](http_request const& request, http_answer answer)
                     {
                         if (platform::is_readiness_probe(request))
                         {
                             this->answer_probe(answer);
                             return;
                         }
-                        this->callers->handle(std::move(request),
-                                              std::move(answer));
+                        this->callers->handle(request, std::move(answer));
                     }),
       probe_server(this->shared.loop,
                    {},
@@ -608,7 +607,7 @@
 std::string
 cell_daemon::impl::next_peer(std::set<std::string> const& tried) const
 {
-    std::string const placer = this->placer_name();
+    std::string placer = this->placer_name();
     if (this->up.count(placer) != 0 && tried.count(placer) == 0)
     {
         return placer;
--- a/libs/cell/src/entry.hpp
+++ b/libs/cell/src/entry.hpp
@@ -29,7 +29,7 @@
 public:
     entry(context& shared, entry_ports ports);
 
-    void handle(http_request request, http_answer answer);
+    void handle(http_request const& request, http_answer answer);
 
     void take_load(load_message const& told);
     void take_state(state_reply const& told);
@@ -62,11 +62,12 @@
         batch::job_state state = batch::job_state::queued;
     };
 
-    void find_record(std::string const& job,
-                     std::function<void(result<stored_record>)> then);
+    using record_handler = std::function<void(result<stored_record> const&)>;
+
+    void find_record(std::string const& job, record_handler const& then);
     void find_record_from(std::vector<std::string> const& order,
                           std::size_t at,
-                          std::function<void(result<stored_record>)> then);
+                          record_handler const& then);
     using relay_handler = std::function<void(relay_reply const&)>;
 
     /** A request that peers are asked for in turn. */
@@ -91,22 +92,25 @@
                      result<platform::kv_committed> const& done);
     void retry(submission given, error const& why);
     void accept(submission const& given, std::int64_t revision);
-    void query(std::string const& job, http_answer answer);
-    void query_store(std::string const& job, http_answer answer);
-    void cancel(platform::caller_call const& call, http_answer answer);
-    void
-    cancel_here(std::string const& job, http_answer answer, instant give_up);
+    void query(std::string const& job, http_answer const& answer);
+    void query_store(std::string const& job, http_answer const& answer);
+    void cancel(platform::caller_call const& call, http_answer const& answer);
+    void cancel_here(std::string const& job,
+                     http_answer const& answer,
+                     instant give_up);
     void retry_cancel(std::string const& job,
-                      http_answer answer,
+                      http_answer const& answer,
                       instant give_up,
                       error const& why);
-    void
-    relay_cancel(std::string const& job, http_answer answer, instant give_up);
-    void relay_query(std::string const& job, http_answer answer);
+    void relay_cancel(std::string const& job,
+                      http_answer const& answer,
+                      instant give_up);
+    void relay_query(std::string const& job, http_answer const& answer);
     void give_up_or_wait(submission given, error const& why);
-    void
-    store_cancel(std::string const& job, http_answer answer, instant give_up);
-    void count(platform::caller_call const& call, http_answer answer);
+    void store_cancel(std::string const& job,
+                      http_answer const& answer,
+                      instant give_up);
+    void count(platform::caller_call const& call, http_answer const& answer);
     bool load_is_fresh() const;
 
     context& shared;
