--- a/libs/batch/src/workers.cpp
+++ b/libs/batch/src/workers.cpp
@@ -27,9 +27,10 @@
 
 void lose_run(scheduler& s,
               worker_record& w,
-              task_ref task, // a copy: the entry that it may name is erased
+              task_ref const& which,
               std::string const& why)
 {
+    task_ref const task = which; // the entry that it may name is erased
     run_record const lost = w.runs.at(task);
     log(s,
         611,
--- a/libs/membership/tests/membership_test.cpp
+++ b/libs/membership/tests/membership_test.cpp
@@ -43,7 +43,7 @@
 
     std::vector<effect> feed(event_body body)
     {
-        std::vector<effect> const effects =
+        std::vector<effect> effects =
             step(this->state, {this->now, std::move(body)});
         for (effect const& each : effects)
         {
