--- a/libs/cell/include/cell/cell.hpp
+++ b/libs/cell/include/cell/cell.hpp
@@ -14,7 +14,7 @@
 namespace cicada::cell
 {
 
-/** What the settings file says; docs/SETTINGS.md has every key. */
+/** What the settings file says; docs/SETTINGS-CELL.md has every key. */
 struct cell_settings
 {
     std::string name;
--- a/tools/cicada_cell/main.cpp
+++ b/tools/cicada_cell/main.cpp
@@ -32,7 +32,7 @@
          POPT_ARG_STRING,
          &file,
          0,
-         "settings file (INI, docs/SETTINGS.md)",
+         "settings file (INI, docs/SETTINGS-CELL.md)",
          "FILE"},
         {"check",
          'c',
