Make an event of the placer cost the same in a fleet of any size

Of unlike instances the larger claim the placer's key first (`cores` in the settings): one of 0.12 cores had placed for a while.

--- a/libs/batch/src/advice.cpp
+++ b/libs/batch/src/advice.cpp
@@ -50,13 +50,18 @@
 
 } // namespace
 
+bool may_ask(scheduler const& s, step_record const& record)
+{
+    return record.asking == 0 && record.next_ask <= s.now;
+}
+
 void seek_advice(scheduler& s,
                  job_record& j,
                  int step,
-                 std::vector<std::string> const& workers)
+                 std::vector<worker_record const*> const& workers)
 {
     step_record& record = j.steps[static_cast<std::size_t>(step)];
-    if (record.asking != 0 || record.next_ask > s.now)
+    if (!may_ask(s, record))
     {
         return;
     }
@@ -78,7 +83,12 @@
     call.asker = asker->first;
     call.job = j.accepted.id;
     call.step = step;
-    call.workers = workers;
+    record.asked.clear();
+    for (worker_record const* each : workers)
+    {
+        call.workers.push_back(each->offer.id);
+        record.asked.push_back(each->number);
+    }
     call.expected =
         std::chrono::duration_cast<milliseconds>(asker->second.free_at - s.now);
     s.effects.emplace_back(std::move(call));
@@ -99,6 +109,7 @@
         return;
     }
     record.asking = 0;
+    record.asked.clear();
     s.place_wanted = true;
     if (!answer.answered)
     {
@@ -111,14 +122,19 @@
         auto const w = s.workers.find(name);
         if (w != s.workers.end())
         {
-            advice_record& advice = record.advice[name];
+            advice_record& advice = record.advice[w->second.number];
             advice = {};
             advice.life = w->second.life;
         }
     }
     for (advised_worker const& each : answer.allowed)
     {
-        auto const advice = record.advice.find(each.worker);
+        auto const w = s.workers.find(each.worker);
+        if (w == s.workers.end())
+        {
+            continue;
+        }
+        auto const advice = record.advice.find(w->second.number);
         if (advice != record.advice.end())
         {
             advice->second.allowed = true;
--- a/libs/batch/src/batch.cpp
+++ b/libs/batch/src/batch.cpp
@@ -93,6 +93,49 @@
     }
 };
 
+/** The worker that an event is about; empty: none, or all of them. */
+struct worker_named
+{
+    std::string operator()(worker_listed const& given) const
+    {
+        return given.offer.id;
+    }
+
+    template <class T>
+    std::string operator()(T const& given) const
+    {
+        if constexpr (requires { given.worker; })
+        {
+            return given.worker;
+        }
+        else
+        {
+            return "";
+        }
+    }
+};
+
+/** Calls that are due: with time anywhere, else only where an event was, so
+ * that an event costs the same in a fleet of any size. */
+void make_due_calls(scheduler& s, event_body const& happened)
+{
+    if (std::holds_alternative<time_passed>(happened))
+    {
+        for (auto& entry : s.workers)
+        {
+            repeat_orders(s, entry.second);
+            look_if_due(s, entry.second);
+        }
+        return;
+    }
+    auto const named = s.workers.find(std::visit(worker_named{}, happened));
+    if (named != s.workers.end())
+    {
+        repeat_orders(s, named->second);
+        look_if_due(s, named->second);
+    }
+}
+
 } // namespace
 
 void log(scheduler& s, int number, std::string detail)
@@ -128,10 +171,9 @@
     }
     if (!state.over)
     {
-        repeat_orders(state);
         place_tasks(state);
         save_changes(state);
-        look_at_workers(state);
+        make_due_calls(state, happened.body);
     }
     std::vector<effect> out;
     out.swap(state.effects);
--- a/libs/batch/src/orders.cpp
+++ b/libs/batch/src/orders.cpp
@@ -221,30 +221,26 @@
     r->next_try = s.now + s.settings.resend;
 }
 
-void repeat_orders(scheduler& s)
+void repeat_orders(scheduler& s, worker_record& w)
 {
-    for (auto& entry : s.workers)
+    if (!w.known)
     {
-        worker_record& w = entry.second;
-        if (!w.known)
+        return;
+    }
+    for (auto& run : w.runs)
+    {
+        run_record& r = run.second;
+        if (r.calling || r.next_try > s.now || r.stop_done)
         {
             continue;
         }
-        for (auto& run : w.runs)
+        if (r.phase == run_phase::starting)
+        {
+            send_start(s, w, run.first, r);
+        }
+        else if (r.phase == run_phase::stopping)
         {
-            run_record& r = run.second;
-            if (r.calling || r.next_try > s.now || r.stop_done)
-            {
-                continue;
-            }
-            if (r.phase == run_phase::starting)
-            {
-                send_start(s, w, run.first, r);
-            }
-            else if (r.phase == run_phase::stopping)
-            {
-                send_stop(s, w, run.first, r);
-            }
+            send_stop(s, w, run.first, r);
         }
     }
 }
--- a/libs/batch/src/state.hpp
+++ b/libs/batch/src/state.hpp
@@ -4,6 +4,7 @@
 
 #include <deque>
 #include <set>
+#include <unordered_map>
 
 namespace cicada::batch
 {
@@ -40,6 +41,7 @@
 struct worker_record
 {
     worker_offer offer;
+    std::uint32_t number = 0; //!< in the order they were first listed
     bool listed = true;
     bool known = false; //!< has answered this token in this life
     std::int64_t life = 0;
@@ -93,8 +95,9 @@
     int placed = 0;
     int done = 0;
     std::uint64_t gang_run = 0;
-    std::map<std::string, advice_record> advice; //!< by worker
-    std::uint64_t asking = 0; //!< the call on its way; 0: none
+    std::unordered_map<std::uint32_t, advice_record> advice; //!< by worker
+    std::uint64_t asking = 0;         //!< the call on its way; 0: none
+    std::vector<std::uint32_t> asked; //!< the workers that it names
     instant next_ask;
     milliseconds rest{0}; //!< the longest chain from here, itself included
 };
@@ -179,7 +182,7 @@
 void unlist_worker(scheduler& s, std::string const& id);
 void take_report(scheduler& s, look_answered const& answer);
 void take_look_failure(scheduler& s, look_failed const& failure);
-void look_at_workers(scheduler& s);
+void look_if_due(scheduler& s, worker_record& w);
 void lapse_workers(scheduler& s);
 bool usable(scheduler const& s, worker_record const& w);
 std::int64_t lease_deadline(scheduler& s, worker_record& w);
@@ -197,7 +200,8 @@
 void call_off(scheduler& s, worker_record& w, task_ref const& task);
 void take_start(scheduler& s, start_answered const& answer);
 void take_stop(scheduler& s, stop_answered const& answer);
-void repeat_orders(scheduler& s);
+/** Orders without an answer, once their pause is over. */
+void repeat_orders(scheduler& s, worker_record& w);
 
 // ---- placing.cpp
 
@@ -209,7 +213,9 @@
 void seek_advice(scheduler& s,
                  job_record& j,
                  int step,
-                 std::vector<std::string> const& workers);
+                 std::vector<worker_record const*> const& workers);
+/** False while a call is on its way or a failed one is not to be repeated. */
+bool may_ask(scheduler const& s, step_record const& record);
 void take_advice(scheduler& s, advice_answered const& answer);
 
 // ---- saving.cpp
--- a/libs/batch/src/workers.cpp
+++ b/libs/batch/src/workers.cpp
@@ -297,7 +297,10 @@
     auto const found = s.workers.find(offer.id);
     if (found == s.workers.end())
     {
+        std::uint32_t const number =
+            static_cast<std::uint32_t>(s.workers.size());
         worker_record& w = s.workers[offer.id];
+        w.number = number;
         w.offer = offer;
         w.next_look = s.now;
         begin_life(s, w, offer.born);
@@ -408,29 +411,25 @@
     }
 }
 
-void look_at_workers(scheduler& s)
+void look_if_due(scheduler& s, worker_record& w)
 {
-    for (auto& entry : s.workers)
+    if (w.looking || w.next_look > s.now || (!w.listed && w.runs.empty()))
     {
-        worker_record& w = entry.second;
-        if (w.looking || w.next_look > s.now || (!w.listed && w.runs.empty()))
-        {
-            continue;
-        }
-        w.looking = true;
-        look_at look;
-        look.worker = w.offer.id;
-        look.where = w.offer.where;
-        look.token = w.token;
-        // A worker that was silent may have restarted and number its ends anew.
-        look.acknowledged = w.silent ? 0 : w.acknowledged;
-        look.wait = w.known ? s.settings.look_wait : milliseconds{0};
-        if (w.known && !w.silent)
-        {
-            look.lease_until = lease_deadline(s, w);
-        }
-        s.effects.emplace_back(std::move(look));
+        return;
+    }
+    w.looking = true;
+    look_at look;
+    look.worker = w.offer.id;
+    look.where = w.offer.where;
+    look.token = w.token;
+    // A worker that was silent may have restarted and number its ends anew.
+    look.acknowledged = w.silent ? 0 : w.acknowledged;
+    look.wait = w.known ? s.settings.look_wait : milliseconds{0};
+    if (w.known && !w.silent)
+    {
+        look.lease_until = lease_deadline(s, w);
     }
+    s.effects.emplace_back(std::move(look));
 }
 
 void lapse_workers(scheduler& s)
--- a/libs/cell/include/cell/cell.hpp
+++ b/libs/cell/include/cell/cell.hpp
@@ -28,6 +28,7 @@
     milliseconds lease_limit{6000}; //!< the longest that workers grant
     milliseconds stop_limit{6000};  //!< after SIGTERM, until SIGKILL
     int descriptors = 4096;
+    int milli_cores = 1000; //!< of the instance, in thousandths
 
     bool operator==(cell_settings const&) const = default;
 };
--- a/libs/cell/src/cell.cpp
+++ b/libs/cell/src/cell.cpp
@@ -205,7 +205,7 @@
             }})
 {
     membership::membership_settings rules;
-    rules.self = {given.name, given.link, this->incarnation};
+    rules.self = {given.name, given.link, this->incarnation, given.milli_cores};
     this->members = membership::make_membership(rules, this->shared.now());
     this->callers = std::make_shared<entry>(
         this->shared,
--- a/libs/cell/src/keys.cpp
+++ b/libs/cell/src/keys.cpp
@@ -33,6 +33,7 @@
     out.link.host = from.value("host", "");
     out.link.port = from.value("port", std::uint16_t{0});
     out.incarnation = from.value("incarnation", std::uint64_t{0});
+    out.milli_cores = from.value("milli_cores", 0);
     return out;
 }
 
@@ -62,7 +63,8 @@
 {
     return json{{"host", each.link.host},
                 {"port", each.link.port},
-                {"incarnation", each.incarnation}}
+                {"incarnation", each.incarnation},
+                {"milli_cores", each.milli_cores}}
         .dump();
 }
 
--- a/libs/cell/src/settings.cpp
+++ b/libs/cell/src/settings.cpp
@@ -1,5 +1,6 @@
 #include "cell/cell.hpp"
 
+#include <cstdlib>
 #include <fstream>
 #include <functional>
 #include <sstream>
@@ -99,6 +100,22 @@
              into.descriptors = static_cast<int>(*read);
              return true;
          }},
+        {"daemon",
+         "cores",
+         "a number of cores from 0.001",
+         false,
+         [](cell_settings& into, std::string const& text)
+         {
+             char* end = nullptr;
+             double const read = std::strtod(text.c_str(), &end);
+             if (text.empty() || *end != '\0' || !(read >= 0.001) ||
+                 read > 10'000.0)
+             {
+                 return false;
+             }
+             into.milli_cores = static_cast<int>(read * 1000.0);
+             return true;
+         }},
         address_setting("listen", "callers", &cell_settings::callers),
         address_setting("listen", "readiness", &cell_settings::readiness),
         address_setting("listen", "link", &cell_settings::link),
--- a/libs/cell/tests/cell_test.cpp
+++ b/libs/cell/tests/cell_test.cpp
@@ -13,6 +13,7 @@
                                   "name = d1\n"
                                   "zone = z\n"
                                   "descriptors = 4100\n"
+                                  "cores = 0.12\n"
                                   "stop-limit = 6s\n"
                                   "future = 1\n"
                                   "[listen]\n"
@@ -33,6 +34,7 @@
     ASSERT_TRUE(read.has_value());
     EXPECT_EQ(read.assume_value().lease_limit, milliseconds{10'000});
     EXPECT_TRUE(read.assume_value().advisor.host.empty());
+    EXPECT_EQ(read.assume_value().milli_cores, 120);
 }
 
 TEST(cell_settings_file, names_every_problem_at_once)
@@ -108,7 +110,7 @@
 TEST(a_view, leaves_out_what_cannot_be_read)
 {
     std::map<std::string, platform::kv_item> items;
-    membership::member const one{"d1", {"127.0.0.1", 9}, 4};
+    membership::member const one{"d1", {"127.0.0.1", 9}, 4, 120};
     items["cell/daemon/d1"] = {"cell/daemon/d1", encode_member(one), 3, 0};
     items["cell/daemon/d2"] = {"cell/daemon/d2", "?", 3, 0};
     items["cell/epoch"] = {"cell/epoch", "12", 8, 0};
--- a/libs/membership/include/membership/membership.hpp
+++ b/libs/membership/include/membership/membership.hpp
@@ -23,6 +23,7 @@
     std::string name;
     address link;
     std::uint64_t incarnation = 0;
+    int milli_cores = 0; //!< of its instance; the larger place first
 
     bool operator==(member const&) const = default;
 };
--- a/libs/membership/src/membership.cpp
+++ b/libs/membership/src/membership.cpp
@@ -17,13 +17,18 @@
            claim.incarnation == m.settings.self.incarnation;
 }
 
-/** The order in which daemons claim a vacant key. */
+/** The order in which daemons claim a vacant key: one placer carries the calls
+ * of all workers, so the larger instances come first. */
 int rank_of(membership_state const& m)
 {
+    member const& self = m.settings.self;
     int rank = 0;
     for (member const& each : m.view.members)
     {
-        rank += each.name < m.settings.self.name ? 1 : 0;
+        bool const larger = each.milli_cores > self.milli_cores;
+        bool const first =
+            each.milli_cores == self.milli_cores && each.name < self.name;
+        rank += larger || first ? 1 : 0;
     }
     return rank;
 }
--- a/libs/membership/tests/membership_test.cpp
+++ b/libs/membership/tests/membership_test.cpp
@@ -154,6 +154,26 @@
         return std::string(info.param.name);
     });
 
+TEST(a_vacancy_among_unlike_instances, goes_to_the_larger_first)
+{
+    driven small("a");
+    driven large("b");
+    for (driven* each : {&small, &large})
+    {
+        each->state.settings.self.milli_cores = each == &small ? 120 : 500;
+        cell_view view = view_of(std::nullopt, 3, {"a", "b"});
+        view.members[0].milli_cores = 120;
+        view.members[1].milli_cores = 500;
+        each->join(view);
+    }
+    std::optional<milliseconds> const first =
+        large.time_to_claim(milliseconds{500});
+    std::optional<milliseconds> const second =
+        small.time_to_claim(milliseconds{500});
+    ASSERT_TRUE(first && second);
+    EXPECT_GE((*second - *first).count(), 20);
+}
+
 // ---- the placer
 
 class a_placer : public testing::Test
