Read a page of the list in a few reads instead of hundreds

Beast reads what its buffer has room for, 512 bytes to begin with, and the parser empties the buffer each time, so an answer of 300 KB took 600 turns of a loop that was busy for 0.3 s a turn. A call that ends posts a turn only if others wait. Ruled out: a lost watch (it answered, 500 events at a time), history that was forgotten, a failed range (no such line), a lease that had gone. Still short: the placer is busy all the time in the bursts.

--- a/libs/http/include/http/http.hpp
+++ b/libs/http/include/http/http.hpp
@@ -51,6 +51,7 @@
     std::size_t body_bytes = std::size_t{256} << 10;  //!< of one request
     std::size_t connections = 1000; //!< beyond it, new ones are closed
     milliseconds idle{15'000};      //!< without a whole request
+    std::size_t read_bytes = std::size_t{4} << 10; //!< of one read, at most
 };
 
 /** Sends the answer to one request; called once, or never if dropped. */
@@ -97,6 +98,7 @@
     std::size_t connections = 4;      //!< to the address, at most
     milliseconds connect_limit{1000}; //!< then the call is `unavailable`
     std::size_t answer_bytes = std::size_t{8} << 20;
+    std::size_t read_bytes = std::size_t{4} << 10; //!< of one read, at most
 };
 
 using http_outcome = std::function<void(result<http_reply>)>;
--- a/libs/http/src/client.cpp
+++ b/libs/http/src/client.cpp
@@ -67,6 +67,8 @@
         : owner(std::move(client)), stream(this->owner->loop)
     {
         this->owner->open += 1;
+        // Beast reads as much as the buffer has room for, at first 512 bytes.
+        this->buffer.reserve(this->owner->settings.read_bytes);
     }
 
     ~connection()
@@ -216,12 +218,16 @@
         {
             this->stream.close();
         }
-        asio::post(client->loop,
-                   [client]
-                   {
-                       client->start_waiting();
-                   });
         tell(std::move(outcome));
+        if (!client->waiting.empty())
+        {
+            // This connection counts as open until its handler has returned.
+            asio::post(client->loop,
+                       [client]
+                       {
+                           client->start_waiting();
+                       });
+        }
     }
 
     std::shared_ptr<impl> owner;
--- a/libs/http/src/server.cpp
+++ b/libs/http/src/server.cpp
@@ -80,6 +80,7 @@
     connection(asio::ip::tcp::socket socket, std::shared_ptr<impl> server)
         : stream(std::move(socket)), owner(std::move(server))
     {
+        this->buffer.reserve(this->owner->settings.read_bytes);
     }
 
     void read()
