Hold placing while the list of workers hangs behind; count confirmed starts

The placer now compares when the list's watch and any other call to the store were last answered: more than 1.5 s behind, nothing is started. The watch of the list waits 1 s. Tests that failed first: placing_test.

--- a/libs/batch/include/batch/batch.hpp
+++ b/libs/batch/include/batch/batch.hpp
@@ -214,6 +214,9 @@
 
 struct time_passed
 {
+    /** How long after the list of workers last answered the store has answered
+     * something else: the list hangs behind, and who drains isn't known. */
+    milliseconds list_behind{0};
 };
 
 struct worker_listed
--- a/libs/batch/src/batch.cpp
+++ b/libs/batch/src/batch.cpp
@@ -14,8 +14,9 @@
 {
     scheduler& s;
 
-    void operator()(time_passed const&) const
+    void operator()(time_passed const& given) const
     {
+        this->s.list_behind = given.list_behind;
         lapse_workers(this->s);
         // Askers, tickets and avoided workers are free again with time alone.
         if (this->s.now >= this->s.next_place + idle_place_pause)
--- a/libs/batch/src/jobs.cpp
+++ b/libs/batch/src/jobs.cpp
@@ -45,6 +45,15 @@
     s.unsaved.emplace(j.accepted.id, s.changes);
 }
 
+void mark_begun(scheduler& s, task_ref const& task)
+{
+    auto const found = s.jobs.find(task.job);
+    if (found != s.jobs.end())
+    {
+        found->second.begun = true;
+    }
+}
+
 namespace
 {
 
--- a/libs/batch/src/orders.cpp
+++ b/libs/batch/src/orders.cpp
@@ -105,9 +105,8 @@
     step.waiting -= 1;
     step.placed += 1;
     step.gang_run = run;
-    if (!j.begun)
+    if (j.state == job_state::queued)
     {
-        j.begun = true;
         j.state = job_state::running;
         j.stored_state = job_state::running;
     }
@@ -174,6 +173,7 @@
     case order_outcome::done:
         r->phase = run_phase::running;
         r->started = s.now;
+        mark_begun(s, answer.task);
         return;
     case order_outcome::unknown:
         if (r->tries >= s.settings.tries)
--- a/libs/batch/src/placing.cpp
+++ b/libs/batch/src/placing.cpp
@@ -10,6 +10,8 @@
 {
 
 constexpr int least_workers_asked = 8;
+/** A worker that says it leaves gets no start 2 s later, at the least. */
+constexpr milliseconds list_patience{1500};
 constexpr std::size_t steps_per_pass = 150; //!< bounds one pass's time
 constexpr int asked_per_task = 3; //!< about the inverse of the share allowed
 
@@ -130,7 +132,8 @@
 
 void place_tasks(scheduler& s)
 {
-    if (s.over || !s.place_wanted || s.now < s.next_place)
+    if (s.over || !s.place_wanted || s.now < s.next_place ||
+        s.list_behind > list_patience)
     {
         return;
     }
--- a/libs/batch/src/state.hpp
+++ b/libs/batch/src/state.hpp
@@ -109,7 +109,7 @@
     job_state stored_state = job_state::queued; //!< as callers are shown
     std::vector<step_record> steps;
     bool adopted = false; //!< an earlier placer may have started tasks
-    bool begun = false;
+    bool begun = false;   //!< a worker has confirmed a start
     instant arrived;
     instant objective; //!< shown as completed by then, it is in time
     milliseconds chain{0};
@@ -157,6 +157,7 @@
     instant next_save;
     bool place_wanted = false;
     instant next_place;
+    milliseconds list_behind{0};
     std::vector<effect> effects;
 };
 
@@ -165,6 +166,7 @@
 void take_job(scheduler& s, job_stored const& given);
 void cancel_job(scheduler& s, std::string const& id);
 void mark_changed(scheduler& s, job_record& j);
+void mark_begun(scheduler& s, task_ref const& task);
 void finish_task(scheduler& s, task_ref const& task);
 void fail_task(scheduler& s, task_ref const& task, std::uint64_t run);
 /** The task has no run any more and waits again, unless it is done. */
--- a/libs/batch/src/workers.cpp
+++ b/libs/batch/src/workers.cpp
@@ -108,6 +108,7 @@
         record.phase = run_phase::running;
         record.started = s.now;
     }
+    mark_begun(s, seen.task);
     record.checkpoint = seen.checkpoint;
 }
 
@@ -143,6 +144,7 @@
         return;
     }
     job_record& j = s.jobs.at(end.task.job);
+    j.begun = true;
     bool const gang =
         j.accepted.steps[static_cast<std::size_t>(end.task.step)].gang;
     if (end.how == run_end::done)
--- /dev/null
+++ b/libs/batch/tests/placing_test.cpp
@@ -0,0 +1,112 @@
+#include "batch/batch.hpp"
+
+#include <gtest/gtest.h>
+
+namespace cicada::batch
+{
+namespace
+{
+
+/** One worker that has answered, and what the scheduler orders. */
+class one_worker : public testing::Test
+{
+protected:
+    void SetUp() override
+    {
+        worker_offer offer;
+        offer.id = "w1";
+        offer.service = "s";
+        offer.where = {"127.0.0.1", 1};
+        offer.capacity = {32'000, 65'536, 0};
+        this->feed(worker_listed{offer});
+        this->feed(workers_complete{});
+        this->feed(look_answered{"w1", this->token, this->now, {}});
+        this->feed(look_answered{"w1", this->token, this->now, {}});
+    }
+
+    void feed(event_body body)
+    {
+        this->now += milliseconds{20};
+        for (effect const& each :
+             step(*this->scheduler, {this->now, std::move(body)}))
+        {
+            if (std::holds_alternative<look_at>(each))
+            {
+                this->token = std::get<look_at>(each).token;
+            }
+            if (std::holds_alternative<start_task>(each))
+            {
+                this->starts += 1;
+                this->last = std::get<start_task>(each);
+            }
+        }
+    }
+
+    void hand_in(std::string const& id)
+    {
+        job made;
+        made.id = id;
+        made.queue.name = "q";
+        made.queue.service = "s";
+        made.spec = "x";
+        task_step only;
+        only.size = {1000, 100, 0};
+        only.estimate = milliseconds{500};
+        made.steps.push_back(only);
+        this->feed(job_stored{made, {}, 0});
+    }
+
+    instant now{milliseconds{10'000}};
+    scheduler_ptr scheduler = make_scheduler({}, this->now);
+    std::uint64_t token = 0;
+    int starts = 0;
+    start_task last;
+};
+
+TEST_F(one_worker, counts_a_job_as_pending_until_a_start_is_confirmed)
+{
+    this->hand_in("a");
+    EXPECT_EQ(load_of(*this->scheduler).pending["q"], 1);
+    this->feed(start_answered{"w1",
+                              this->last.task,
+                              this->last.run,
+                              this->token,
+                              order_outcome::done});
+    EXPECT_EQ(load_of(*this->scheduler).pending["q"], 0);
+}
+
+TEST_F(one_worker, gets_a_task)
+{
+    this->hand_in("a");
+    EXPECT_EQ(this->starts, 1);
+}
+
+struct list_case
+{
+    int behind_ms;
+    int starts;
+};
+
+class a_list_of_workers : public one_worker,
+                          public testing::WithParamInterface<list_case>
+{
+};
+
+TEST_P(a_list_of_workers, that_hangs_behind_stops_placing)
+{
+    this->feed(time_passed{milliseconds{GetParam().behind_ms}});
+    this->hand_in("a");
+    EXPECT_EQ(this->starts, GetParam().starts);
+    this->feed(time_passed{milliseconds{0}});
+    EXPECT_EQ(this->starts, 1);
+}
+
+INSTANTIATE_TEST_SUITE_P(cases,
+                         a_list_of_workers,
+                         testing::Values(list_case{0, 1},
+                                         list_case{1400, 1},
+                                         list_case{1900, 0},
+                                         list_case{60'000, 0}));
+
+} // namespace
+} // namespace cicada::batch
--- a/libs/cell/src/cell.cpp
+++ b/libs/cell/src/cell.cpp
@@ -237,6 +237,7 @@
         this->shared,
         keys::cell,
         milliseconds{0},
+        watch_wait,
         [this](watched_prefix::items const& items,
                std::vector<std::string> const&)
         {
@@ -246,6 +247,7 @@
         this->shared,
         keys::config,
         milliseconds{0},
+        watch_wait,
         [this](watched_prefix::items const& items,
                std::vector<std::string> const&)
         {
--- a/libs/cell/src/placer.cpp
+++ b/libs/cell/src/placer.cpp
@@ -14,6 +14,7 @@
 constexpr milliseconds load_period{200};   //!< between load messages
 constexpr milliseconds intake_pause{1000}; //!< entries also tell us directly
 constexpr milliseconds list_pause{100};    //!< 48 workers write every 1.5 s
+constexpr milliseconds list_wait{1000};    //!< placing waits for the list
 constexpr milliseconds failure_pause{100};
 constexpr milliseconds order_limit{500};     //!< a calm answer takes 10 ms
 constexpr milliseconds look_slack{700};      //!< beyond a look's wait
@@ -200,6 +201,7 @@
         this->shared,
         keys::intake,
         intake_pause,
+        watch_wait,
         [self](watched_prefix::items const& items,
                std::vector<std::string> const& changed)
         {
@@ -310,6 +312,7 @@
         this->shared,
         keys::workers,
         list_pause,
+        list_wait,
         [self](watched_prefix::items const& items,
                std::vector<std::string> const& changed)
         {
@@ -350,7 +353,7 @@
     {
         return;
     }
-    this->feed(batch::time_passed{});
+    this->feed(batch::time_passed{this->list_behind()});
     this->shared.after(tick_period,
                        [self = this->shared_from_this()]
                        {
@@ -358,6 +361,14 @@
                        });
 }
 
+milliseconds placer::list_behind() const
+{
+    return std::max(
+        milliseconds{0},
+        std::chrono::duration_cast<milliseconds>(this->shared.store_heard -
+                                                 this->workers->answered_at()));
+}
+
 void placer::send_load()
 {
     if (this->stopped)
--- a/libs/cell/src/placer.hpp
+++ b/libs/cell/src/placer.hpp
@@ -66,6 +66,7 @@
     void feed(batch::event_body body);
     void feed_record(std::string const& record);
     void tick();
+    milliseconds list_behind() const;
     void send_load();
     worker_line& line_to(std::string const& worker, address const& where);
 
--- a/libs/cell/src/watched_prefix.cpp
+++ b/libs/cell/src/watched_prefix.cpp
@@ -6,7 +6,6 @@
 namespace
 {
 
-constexpr milliseconds watch_wait{3000}; //!< a silent connection costs this
 constexpr milliseconds failure_pause{200};
 
 } // namespace
@@ -15,8 +14,9 @@
     context& given,
     std::string wanted,
     milliseconds between,
+    milliseconds longest,
     std::function<void(items const&, std::vector<std::string> const&)> tell)
-    : shared(given), prefix(std::move(wanted)), pause(between),
+    : shared(given), prefix(std::move(wanted)), pause(between), wait(longest),
       changed(std::move(tell))
 {
 }
@@ -38,6 +38,11 @@
     this->stopped = true;
 }
 
+instant watched_prefix::answered_at() const
+{
+    return this->answered;
+}
+
 void watched_prefix::read_all()
 {
     if (this->stopped)
@@ -68,6 +73,7 @@
 
 void watched_prefix::take_page(platform::kv_page page)
 {
+    this->answered = this->shared.now();
     items next;
     std::vector<std::string> keys;
     for (platform::kv_item& item : page.items)
@@ -107,7 +113,7 @@
     this->shared.store.watch(
         this->prefix,
         this->revision,
-        watch_wait,
+        this->wait,
         [self = this->shared_from_this()](result<platform::kv_changes> got)
         {
             if (self->stopped)
@@ -135,6 +141,7 @@
 
 void watched_prefix::take_changes(platform::kv_changes changes)
 {
+    this->answered = this->shared.now();
     std::vector<std::string> keys;
     for (platform::kv_item& item : changes.events)
     {
