--- a/libs/batch/tests/worker_model.hpp
+++ b/libs/batch/tests/worker_model.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "checker.hpp"
+#include "batch_checker/batch_checker.hpp"
 
 #include <optional>
 
--- a/libs/batch/tests/checker.hpp
+++ b/libs/batch_checker/include/batch_checker/batch_checker.hpp
@@ -28,8 +28,17 @@
 class checker
 {
 public:
+    /** `cancel_limit`: no start later than this after a cancellation. */
+    explicit checker(milliseconds cancel_limit = milliseconds{3000});
+
     void handed_in(job const& accepted);
+    /** A cancellation may be in force from now on, or never. */
+    void cancel_sent(std::string const& job);
     void cancelled(std::string const& job, instant at);
+    /** Every attempt to hand it in was refused as not run. */
+    void turned_away(std::string const& job);
+    /** Nobody was told that it is accepted: it need not end. */
+    void never_accepted(std::string const& job);
     void started(instant at,
                  task_ref const& task,
                  std::uint64_t run,
@@ -53,8 +62,11 @@
     void breach(std::string const& what);
     bool ended_done(task_ref const& task) const;
 
+    milliseconds limit;
     std::map<std::string, job> jobs;
     std::map<std::string, instant> cancels;
+    std::set<std::string> refused;
+    std::set<std::string> unaccepted;
     std::map<std::string, job_state> states;
     std::map<task_ref, std::vector<seen_run>> runs;
     std::vector<std::string> found;
