Treat advice as the scarce resource of a burst; rank late work by its worth

The steps waited for advice: wide steps asked about three workers a task (up to 100, 0.8 s a call), queued for 1.5 s at half of the daemons, and their tickets ran out (1.5 s) before there was room; late steps took as much. - A step asks about as many workers as it takes for room, by the share its queue was allowed so far (at least three allowed workers are expected). - A daemon that is busy for more than 40 ms gets no further call: the queue is the placer's, most urgent first. A fourth of the daemons, not half, is left to short calls.

--- a/libs/batch/src/admission.cpp
+++ b/libs/batch/src/admission.cpp
@@ -13,18 +13,29 @@
 constexpr milliseconds least_retry{500}; //!< Retry-After
 constexpr milliseconds longest_retry{10'000};
 
-/** Core-milliseconds of tasks that wait, here or for earlier steps. */
-double waiting_work(job_record const& j)
+/**
+ * Core-milliseconds of tasks that wait, here or for earlier steps, by the rank
+ * they are placed in and all after it. What is hopeless is placed last and
+ * keeps nobody waiting.
+ */
+void add_waiting_work(job_record const& j,
+                      instant now,
+                      std::vector<double>& by_rank)
 {
-    double sum = 0.0;
     for (std::size_t i = 0; i < j.steps.size(); ++i)
     {
         task_step const& shape = j.accepted.steps[i];
-        sum += static_cast<double>(j.steps[i].waiting) *
-               static_cast<double>(shape.estimate.count()) *
-               static_cast<double>(shape.size.milli_cores) / 1000.0;
+        double const work = static_cast<double>(j.steps[i].waiting) *
+                            static_cast<double>(shape.estimate.count()) *
+                            static_cast<double>(shape.size.milli_cores) /
+                            1000.0;
+        std::size_t const rank =
+            static_cast<std::size_t>(std::max(0, rank_of(j, i, now)));
+        for (std::size_t k = rank; k < by_rank.size(); ++k)
+        {
+            by_rank[k] += work;
+        }
     }
-    return sum;
 }
 
 /** How long after it is handed in the job may start and be in time. */
@@ -112,13 +123,7 @@
         {
             report.pending[j.accepted.queue.name] += 1;
         }
-        std::size_t const at = std::min<std::size_t>(
-            priorities - 1,
-            static_cast<std::size_t>(std::max(0, j.accepted.queue.priority)));
-        for (std::size_t lower = at; lower < priorities; ++lower)
-        {
-            work[lower] += waiting_work(j);
-        }
+        add_waiting_work(j, state.now, work);
     }
     for (double each : work)
     {
@@ -162,7 +167,7 @@
                 of.steps += 1;
                 of.tasks += step.waiting;
                 of.asking += step.asking != 0 ? 1 : 0;
-                of.late += j.objective - step.rest < state.now ? 1 : 0;
+                of.late += latest_start(j, i) < state.now ? 1 : 0;
             }
         }
     }
--- a/libs/batch/src/advice.cpp
+++ b/libs/batch/src/advice.cpp
@@ -12,30 +12,47 @@
 constexpr double long_call_ms = 100.0;    //!< longer calls are kept apart
 constexpr milliseconds call_overhead{12}; //!< the ways to asker and advisor
 constexpr milliseconds retry_pause{50};
-constexpr milliseconds most_wait{1500}; //!< an asker that is busier is skipped
+/** A daemon that is busy for longer gets no further call: what waits, waits
+ * here, where the most urgent step is next. */
+constexpr milliseconds most_wait{40};
+constexpr std::size_t short_call_part = 4; //!< of the daemons, one in so many
+constexpr double first_share = 0.4;        //!< allowed, before any answer
+constexpr double first_weight = 20.0;      //!< workers that it counts as
+
+/** The daemons that long calls leave to short ones. */
+std::size_t kept_for_short(scheduler const& s)
+{
+    return s.askers.size() < 2
+               ? 0
+               : (s.askers.size() + short_call_part - 1) / short_call_part;
+}
 
 /**
  * Who asks. The advisor serves one call of a daemon at a time, so long calls
- * go to the first half of the daemons and short ones prefer the other half.
+ * leave some daemons to short ones. Load: bursts of wide steps, whose calls
+ * take most of a second. A long call for a step that will be late anyway is
+ * made only while half of the daemons have nothing to ask.
  */
-std::map<std::string, asker_record>::iterator choose_asker(scheduler& s,
-                                                           bool long_call)
+std::map<std::string, asker_record>::iterator
+choose_asker(scheduler& s, bool long_call, bool late)
 {
     auto best = s.askers.end();
     milliseconds best_wait = most_wait;
-    std::size_t const half = (s.askers.size() + 1) / 2;
+    std::size_t const kept = kept_for_short(s);
     std::size_t at = 0;
+    std::size_t idle = 0;
     for (auto each = s.askers.begin(); each != s.askers.end(); ++each, ++at)
     {
-        bool const for_long = at < half;
-        if (long_call && !for_long)
+        bool const for_short = at < kept;
+        if (long_call && for_short)
         {
             continue;
         }
         milliseconds wait = std::max(milliseconds{0},
                                      std::chrono::duration_cast<milliseconds>(
                                          each->second.free_at - s.now));
-        if (!long_call && for_long && s.askers.size() > 1)
+        idle += wait.count() == 0 ? 1 : 0;
+        if (!long_call && !for_short)
         {
             wait += call_overhead;
         }
@@ -45,7 +62,8 @@
             best_wait = wait;
         }
     }
-    return best;
+    bool const busy = idle * 2 < s.askers.size() - kept;
+    return late && long_call && busy ? s.askers.end() : best;
 }
 
 } // namespace
@@ -55,10 +73,20 @@
     return record.asking == 0 && record.next_ask <= s.now;
 }
 
+double allowed_share(scheduler const& s, job_record const& j)
+{
+    auto const found = s.learned.find(j.accepted.queue.name);
+    learned_share const seen =
+        found == s.learned.end() ? learned_share{} : found->second;
+    return (first_share * first_weight + seen.allowed) /
+           (first_weight + seen.asked);
+}
+
 void seek_advice(scheduler& s,
                  job_record& j,
                  int step,
-                 std::vector<worker_record const*> const& workers)
+                 std::vector<worker_record const*> const& workers,
+                 bool late)
 {
     step_record& record = j.steps[static_cast<std::size_t>(step)];
     if (!may_ask(s, record))
@@ -69,7 +97,7 @@
     double const cost =
         terms.decision_ms +
         terms.per_worker_ms * static_cast<double>(workers.size());
-    auto const asker = choose_asker(s, cost > long_call_ms);
+    auto const asker = choose_asker(s, cost > long_call_ms, late);
     if (asker == s.askers.end())
     {
         return;
@@ -117,6 +145,9 @@
         log(s, 614, "job=" + answer.job + " asker=" + answer.asker);
         return;
     }
+    learned_share& share = s.learned[found->second.accepted.queue.name];
+    share.asked += static_cast<double>(answer.asked.size());
+    share.allowed += static_cast<double>(answer.allowed.size());
     for (std::string const& name : answer.asked)
     {
         auto const w = s.workers.find(name);
--- a/libs/batch/src/gangs.cpp
+++ b/libs/batch/src/gangs.cpp
@@ -1,6 +1,7 @@
 #include "placing.hpp"
 
 #include <algorithm>
+#include <iterator>
 
 namespace cicada::batch
 {
@@ -10,6 +11,7 @@
 
 constexpr milliseconds least_run{300};      //!< before a run may be preempted
 constexpr milliseconds gang_patience{3000}; //!< slack kept by preempting
+constexpr int enough_allowed = 2; //!< times the gang, some of it is busy
 
 /** Runs that may be stopped for the step: less urgent, and they lose little. */
 std::vector<task_ref>
@@ -183,7 +185,30 @@
     }
 }
 
-/** Asks about more workers, or once more about those whose tickets ran out. */
+/** How many members the slot would hold if nothing else ran there. */
+int empty_room(waiting_step const& step, slot const& at)
+{
+    slot empty = at;
+    empty.free = at.w->offer.capacity;
+    return room_for(empty, step);
+}
+
+/** Whether the workers allowed so far could hold the gang, were they empty. */
+bool allowed_suffice(waiting_step const& step, free_room& room)
+{
+    int allowed = 0;
+    for (slot const* each : allowed_slots(step, room))
+    {
+        allowed += empty_room(step, *each);
+    }
+    return allowed >= step.shape().count * enough_allowed;
+}
+
+/**
+ * Asks again about those whose tickets ran out if they have room for the gang;
+ * else about more that have room now; if none has, about any, as long as the
+ * gang would not fit on the ones allowed.
+ */
 void ask_for_gang(scheduler& s,
                   waiting_step const& step,
                   free_room& room,
@@ -193,19 +218,37 @@
     {
         return;
     }
-    std::vector<candidate> unasked;
-    if (found.known < room.slots.size())
+    std::vector<candidate> known = found.expired;
+    known.insert(known.end(), found.ready.begin(), found.ready.end());
+    if (total_room(known) >= step.shape().count)
+    {
+        ask_about(s, step, std::move(known), {});
+        return;
+    }
+    if (found.known >= room.slots.size())
     {
-        unasked = unasked_for(step, room);
+        return;
     }
-    if (!unasked.empty())
+    std::vector<candidate> unasked = unasked_for(step, room);
+    std::vector<candidate> roomy;
+    std::copy_if(unasked.begin(),
+                 unasked.end(),
+                 std::back_inserter(roomy),
+                 [](candidate const& each)
+                 {
+                     return each.room > 0;
+                 });
+    if (!roomy.empty())
     {
-        ask_about(s, step, {}, std::move(unasked), most_workers_asked);
+        ask_about(s, step, std::move(known), std::move(roomy));
     }
-    else if (total_room(found.ready) + total_room(found.expired) >=
-             step.shape().count)
+    else if (!allowed_suffice(step, room))
     {
-        ask_about(s, step, found.expired, found.ready, most_workers_asked);
+        for (candidate& each : unasked)
+        {
+            each.room = empty_room(step, *each.at);
+        }
+        ask_about(s, step, {}, std::move(unasked));
     }
 }
 
--- a/libs/batch/src/jobs.cpp
+++ b/libs/batch/src/jobs.cpp
@@ -11,6 +11,30 @@
            state == job_state::cancelled;
 }
 
+instant latest_start(job_record const& j, std::size_t step)
+{
+    return j.objective - j.steps[step].rest;
+}
+
+int rank_of(job_record const& j, std::size_t step, instant now)
+{
+    // Late work is worth a fifth, so it comes after what is in time and less
+    // urgent; after three times its objective it is worth nothing.
+    constexpr int late_demotion = 2;
+    constexpr int late_spans = 2;
+    milliseconds const overdue =
+        std::chrono::duration_cast<milliseconds>(now - latest_start(j, step));
+    milliseconds const span =
+        std::chrono::duration_cast<milliseconds>(j.objective - j.arrived);
+    if (overdue.count() <= 0)
+    {
+        return j.accepted.queue.priority;
+    }
+    return overdue <= span * late_spans
+               ? j.accepted.queue.priority + late_demotion
+               : hopeless_rank;
+}
+
 bool step_ready(job_record const& j, std::size_t step)
 {
     std::vector<int> const& after = j.accepted.steps[step].after;
--- a/libs/batch/src/placing.cpp
+++ b/libs/batch/src/placing.cpp
@@ -9,19 +9,18 @@
 namespace
 {
 
-constexpr int least_workers_asked = 8;
 /** A worker that says it leaves gets no start 2 s later, at the least. */
 constexpr milliseconds list_patience{1500};
 constexpr std::size_t steps_per_pass = 150; //!< bounds one pass's time
-constexpr int asked_per_task = 3; //!< about the inverse of the share allowed
+/** Steps of the first rank are placed in every pass, the others this often:
+ * in a burst tens of wide steps wait, and each pass over them takes time that
+ * the urgent ones wait for. */
+constexpr milliseconds whole_pass_pause{50};
 
 auto order_of(waiting_step const& step)
 {
-    return std::tie(step.late,
-                    step.priority,
-                    step.latest_start,
-                    step.j->accepted.id,
-                    step.step);
+    return std::tie(
+        step.rank, step.latest_start, step.j->accepted.id, step.step);
 }
 
 std::vector<waiting_step> waiting_steps(scheduler& s)
@@ -43,8 +42,8 @@
             waiting_step w;
             w.j = &j;
             w.step = static_cast<int>(i);
-            w.priority = j.accepted.queue.priority;
-            w.latest_start = j.objective - j.steps[i].rest;
+            w.rank = rank_of(j, i, s.now);
+            w.latest_start = latest_start(j, i);
             w.late = w.latest_start < s.now;
             all.push_back(w);
         }
@@ -119,13 +118,7 @@
     {
         unasked = unasked_for(step, room);
     }
-    ask_about(s,
-              step,
-              std::move(found.expired),
-              std::move(unasked),
-              std::min(most_workers_asked,
-                       std::max(least_workers_asked,
-                                step.record().waiting * asked_per_task)));
+    ask_about(s, step, std::move(found.expired), std::move(unasked));
 }
 
 } // namespace
@@ -145,9 +138,18 @@
         return;
     }
     std::vector<waiting_step> const steps = waiting_steps(s);
+    bool const whole = s.now >= s.next_whole_pass;
+    if (whole)
+    {
+        s.next_whole_pass = s.now + whole_pass_pause;
+    }
     std::size_t const most = std::min(steps.size(), steps_per_pass);
     for (std::size_t i = 0; i < most; ++i)
     {
+        if (!whole && steps[i].rank > steps.front().rank)
+        {
+            break;
+        }
         if (steps[i].shape().gang)
         {
             place_gang(s, steps[i], room);
--- a/libs/batch/src/placing.hpp
+++ b/libs/batch/src/placing.hpp
@@ -11,9 +11,9 @@
 {
     job_record* j = nullptr;
     int step = 0;
-    bool late = false; //!< its objective can't be met any more
-    int priority = 0;
-    instant latest_start;
+    int rank = 0;         //!< lower is placed first
+    bool late = false;    //!< by estimate, its objective can't be met any more
+    instant latest_start; //!< by estimate, to meet the objective
 
     task_step const& shape() const
     {
@@ -85,12 +85,15 @@
 /** Every slot that may run the step, whether it has room or not. */
 std::vector<slot*> allowed_slots(waiting_step const& step, free_room& room);
 
-/** Asks about these in turn, at most so many; keeps room for single tasks. */
+/**
+ * Asks about as many as it takes to find room for the step's waiting tasks, by
+ * the share that its queue was allowed so far: `known` are allowed for sure,
+ * `unknown` perhaps. Keeps the room of single tasks.
+ */
 void ask_about(scheduler& s,
                waiting_step const& step,
-               std::vector<candidate> first,
-               std::vector<candidate> then,
-               int most);
+               std::vector<candidate> known,
+               std::vector<candidate> unknown);
 
 /** Room that an advice call on its way is about isn't offered to others. */
 void hold_asked_room(waiting_step const& step, free_room& room);
@@ -107,8 +110,6 @@
 
 std::string rack_of(worker_record const& w);
 
-constexpr int most_workers_asked = 100; //!< the advisor's bound of one call
-
 // ---- gangs.cpp
 
 void place_gang(scheduler& s, waiting_step const& step, free_room& room);
--- a/libs/batch/src/room.cpp
+++ b/libs/batch/src/room.cpp
@@ -9,6 +9,9 @@
 {
 
 constexpr milliseconds ticket_margin{150}; //!< the way to the worker, twice
+constexpr std::size_t most_workers_asked = 100; //!< the bound of one call
+constexpr double spare_room = 1.5;    //!< others may take some meanwhile
+constexpr double least_allowed = 3.0; //!< workers, so that chance evens out
 
 bool has_label(worker_record const& w, std::string const& label)
 {
@@ -199,31 +202,42 @@
 
 void ask_about(scheduler& s,
                waiting_step const& step,
-               std::vector<candidate> first,
-               std::vector<candidate> then,
-               int most)
+               std::vector<candidate> known,
+               std::vector<candidate> unknown)
 {
     std::vector<worker_record const*> named;
-    std::sort(first.begin(), first.end(), roomier);
-    std::sort(then.begin(), then.end(), roomier);
-    for (std::vector<candidate> const* part : {&first, &then})
+    double const share = allowed_share(s, *step.j);
+    double room = 0.0;    // expected, in tasks
+    double workers = 0.0; // expected to be allowed
+    double const wanted = step.record().waiting * spare_room;
+    auto const name = [&](candidate const& c, double likely)
     {
-        for (candidate const& c : *part)
+        bool const enough = room >= wanted && workers >= least_allowed;
+        if (enough || named.size() >= most_workers_asked)
         {
-            if (static_cast<int>(named.size()) >= most)
-            {
-                break;
-            }
-            named.push_back(c.at->w);
-            if (!step.shape().gang)
-            {
-                c.at->free = c.at->free - step.shape().size;
-            }
+            return;
+        }
+        named.push_back(c.at->w);
+        room += likely * c.room;
+        workers += likely;
+        if (!step.shape().gang)
+        {
+            c.at->free = c.at->free - step.shape().size;
         }
+    };
+    std::sort(known.begin(), known.end(), roomier);
+    std::sort(unknown.begin(), unknown.end(), roomier);
+    for (candidate const& c : known)
+    {
+        name(c, 1.0);
+    }
+    for (candidate const& c : unknown)
+    {
+        name(c, share);
     }
     if (!named.empty())
     {
-        seek_advice(s, *step.j, step.step, named);
+        seek_advice(s, *step.j, step.step, named, step.late);
     }
 }
 
--- a/libs/batch/src/state.hpp
+++ b/libs/batch/src/state.hpp
@@ -11,6 +11,7 @@
 
 constexpr milliseconds clock_margin{250}; //!< added to a lease's end
 constexpr double slow_clock = 1.02;       //!< workers' clocks: 2% slow at most
+constexpr int hopeless_rank = 100;
 constexpr std::uint64_t runs_per_epoch = 4096;
 constexpr std::uint64_t lives_per_epoch = 1024;
 
@@ -124,6 +125,13 @@
     job_state state = job_state::queued;
 };
 
+/** What a queue's advice has allowed so far, in workers. */
+struct learned_share
+{
+    double asked = 0.0;
+    double allowed = 0.0;
+};
+
 struct asker_record
 {
     instant free_at;
@@ -149,6 +157,7 @@
     std::set<std::string> live;            //!< jobs that aren't over
     std::map<std::string, asker_record> askers;
     std::uint64_t advice_calls = 0;
+    std::map<std::string, learned_share> learned; //!< by queue
     std::uint64_t changes = 0;
     std::map<std::string, std::uint64_t> unsaved; //!< job to its first change
     std::map<std::string, saving_record> saving;  //!< by job
@@ -157,6 +166,7 @@
     instant next_save;
     bool place_wanted = false;
     instant next_place;
+    instant next_whole_pass; //!< over the steps of every rank
     milliseconds list_behind{0};
     std::vector<effect> effects;
 };
@@ -176,6 +186,11 @@
                std::string const& checkpoint);
 bool step_ready(job_record const& j, std::size_t step);
 bool is_over(job_state state);
+/** By estimate, to meet the job's objective. */
+instant latest_start(job_record const& j, std::size_t step);
+/** The order of placing: the queue's priority, less urgent once it is late,
+ * and `hopeless_rank` once it can't even be of use late. */
+int rank_of(job_record const& j, std::size_t step, instant now);
 task_record* find_task(scheduler& s, task_ref const& task);
 
 // ---- workers.cpp
@@ -215,7 +230,10 @@
 void seek_advice(scheduler& s,
                  job_record& j,
                  int step,
-                 std::vector<worker_record const*> const& workers);
+                 std::vector<worker_record const*> const& workers,
+                 bool late);
+/** Of the workers asked about, for the job's queue so far. */
+double allowed_share(scheduler const& s, job_record const& j);
 /** False while a call is on its way or a failed one is not to be repeated. */
 bool may_ask(scheduler const& s, step_record const& record);
 void take_advice(scheduler& s, advice_answered const& answer);
