Keep askers busy, ask about more where it is cheap; play the load as a test

A free daemon got its next call with the next pass over all steps, up to 50 ms later, of calls of 85 ms; and pings asked about five workers where more are nearly free. Daemons now have up to 120 ms of calls; a call names workers until they cost a fourth of its fixed time; of single tasks three workers' room is kept while it asks.

--- a/libs/batch/src/advice.cpp
+++ b/libs/batch/src/advice.cpp
@@ -13,8 +13,9 @@
 constexpr milliseconds call_overhead{12}; //!< the ways to asker and advisor
 constexpr milliseconds retry_pause{50};
 /** A daemon that is busy for longer gets no further call: what waits, waits
- * here, where the most urgent step is next. */
-constexpr milliseconds most_wait{40};
+ * here, where the most urgent step is next. Two passes over all steps, so that
+ * it always has the next call. */
+constexpr milliseconds most_wait{120};
 constexpr std::size_t short_call_part = 4; //!< of the daemons, one in so many
 constexpr double first_share = 0.4;        //!< allowed, before any answer
 constexpr double first_weight = 20.0;      //!< workers that it counts as
--- a/libs/batch/src/placing.cpp
+++ b/libs/batch/src/placing.cpp
@@ -16,6 +16,7 @@
  * in a burst tens of wide steps wait, and each pass over them takes time that
  * the urgent ones wait for. */
 constexpr milliseconds whole_pass_pause{50};
+constexpr std::size_t few_steps = 30; //!< each pass visits so many
 
 auto order_of(waiting_step const& step)
 {
@@ -138,7 +139,7 @@
         return;
     }
     std::vector<waiting_step> const steps = waiting_steps(s);
-    bool const whole = s.now >= s.next_whole_pass;
+    bool const whole = s.now >= s.next_whole_pass || steps.size() <= few_steps;
     if (whole)
     {
         s.next_whole_pass = s.now + whole_pass_pause;
--- a/libs/batch/src/room.cpp
+++ b/libs/batch/src/room.cpp
@@ -12,6 +12,8 @@
 constexpr std::size_t most_workers_asked = 100; //!< the bound of one call
 constexpr double spare_room = 1.5;    //!< others may take some meanwhile
 constexpr double least_allowed = 3.0; //!< workers, so that chance evens out
+constexpr double cheap_part = 0.25;   //!< of a call's time, for more workers
+constexpr int held_a_task = 3;        //!< workers kept for a task that asks
 
 bool has_label(worker_record const& w, std::string const& label)
 {
@@ -27,6 +29,12 @@
            (shape.required_label.empty() || has_label(w, shape.required_label));
 }
 
+/** On how many of the workers asked about a single task's room is kept. */
+int held_workers(waiting_step const& step)
+{
+    return step.shape().gang ? 0 : step.record().waiting * held_a_task;
+}
+
 candidate make_candidate(slot& at, waiting_step const& step)
 {
     std::string const& rack = step.shape().data_rack;
@@ -210,9 +218,14 @@
     double room = 0.0;    // expected, in tasks
     double workers = 0.0; // expected to be allowed
     double const wanted = step.record().waiting * spare_room;
+    advice_terms const& terms = *step.j->accepted.queue.advice;
+    double const cheap = terms.decision_ms * cheap_part;
+    int to_hold = held_workers(step);
     auto const name = [&](candidate const& c, double likely)
     {
-        bool const enough = room >= wanted && workers >= least_allowed;
+        bool const enough =
+            room >= wanted && workers >= least_allowed &&
+            terms.per_worker_ms * static_cast<double>(named.size()) >= cheap;
         if (enough || named.size() >= most_workers_asked)
         {
             return;
@@ -220,7 +233,7 @@
         named.push_back(c.at->w);
         room += likely * c.room;
         workers += likely;
-        if (!step.shape().gang)
+        if (to_hold-- > 0)
         {
             c.at->free = c.at->free - step.shape().size;
         }
@@ -243,10 +256,11 @@
 
 void hold_asked_room(waiting_step const& step, free_room& room)
 {
+    int to_hold = held_workers(step);
     for (std::uint32_t number : step.record().asked)
     {
         slot* const at = room.at(number);
-        if (at != nullptr)
+        if (at != nullptr && to_hold-- > 0)
         {
             at->free = at->free - step.shape().size;
         }
--- /dev/null
+++ b/libs/batch/tests/advice_load_test.cpp
@@ -0,0 +1,367 @@
+#include "batch/batch.hpp"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <deque>
+#include <functional>
+#include <queue>
+
+namespace cicada::batch
+{
+namespace
+{
+
+constexpr int workers = 60;
+constexpr milliseconds tick{10};
+constexpr milliseconds way{8}; //!< to a worker or an asker and back
+constexpr milliseconds work{640};
+
+/**
+ * A fleet, its askers and a load on one simulated clock: nothing fails, so
+ * what callers get depends on the decisions alone. An asker handles one call
+ * at a time, in the order they come.
+ */
+class loaded_cell
+{
+public:
+    explicit loaded_cell(int askers)
+    {
+        for (int k = 0; k < workers; ++k)
+        {
+            worker_offer offer;
+            offer.id = "w" + std::to_string(100 + k);
+            offer.service = "s";
+            offer.where = {"127.0.0.1", 1};
+            offer.capacity = {32'000, 65'536, 0};
+            this->feed(worker_listed{offer});
+        }
+        this->feed(workers_complete{});
+        std::vector<std::string> names;
+        for (int k = 0; k < askers; ++k)
+        {
+            names.push_back("d" + std::to_string(10 + k));
+        }
+        this->feed(askers_changed{names});
+        this->run(milliseconds{200});
+    }
+
+    void run(milliseconds span)
+    {
+        instant const end = this->now + span;
+        while (this->now < end)
+        {
+            this->now += milliseconds{1};
+            while (!this->agenda.empty() &&
+                   this->agenda.top().when <= this->now)
+            {
+                std::function<void()> const what = this->agenda.top().what;
+                this->agenda.pop();
+                what();
+            }
+            if (this->now.time_since_epoch().count() % tick.count() == 0)
+            {
+                this->feed(time_passed{});
+            }
+        }
+    }
+
+    void hand_in(job const& made)
+    {
+        this->arrived[made.id] = this->now;
+        this->feed(job_stored{made, {}, 0});
+    }
+
+    /** How long each job of the queue took until all of it was done. */
+    std::vector<milliseconds> times(std::string const& prefix) const
+    {
+        std::vector<milliseconds> out;
+        for (auto const& each : this->ended)
+        {
+            if (each.first.rfind(prefix, 0) == 0)
+            {
+                out.push_back(std::chrono::duration_cast<milliseconds>(
+                    each.second - this->arrived.at(each.first)));
+            }
+        }
+        return out;
+    }
+
+    int handed_in(std::string const& prefix) const
+    {
+        return static_cast<int>(std::count_if(this->arrived.begin(),
+                                              this->arrived.end(),
+                                              [&prefix](auto const& each)
+                                              {
+                                                  return each.first.rfind(
+                                                             prefix, 0) == 0;
+                                              }));
+    }
+
+    instant now{milliseconds{10'000}};
+
+private:
+    struct planned
+    {
+        instant when;
+        std::uint64_t order = 0;
+        std::function<void()> what;
+
+        bool operator<(planned const& other) const
+        {
+            return this->when != other.when ? this->when > other.when
+                                            : this->order > other.order;
+        }
+    };
+
+    void at(instant when, std::function<void()> what)
+    {
+        this->agenda.push({when, ++this->order, std::move(what)});
+    }
+
+    void feed(event_body body)
+    {
+        for (effect const& each :
+             step(*this->scheduler, {this->now, std::move(body)}))
+        {
+            std::visit(
+                [this](auto const& what)
+                {
+                    this->carry_out(what);
+                },
+                each);
+        }
+    }
+
+    void carry_out(look_at const& look)
+    {
+        std::deque<finished_run>& ends = this->finished[look.worker];
+        while (!ends.empty() && ends.front().number <= look.acknowledged)
+        {
+            ends.pop_front();
+        }
+        instant const sent = this->now;
+        this->at(this->now + (ends.empty() ? tick * 3 : way),
+                 [this, look, sent]
+                 {
+                     worker_report report;
+                     report.clock_ms = this->now.time_since_epoch().count();
+                     for (auto const& run : this->active[look.worker])
+                     {
+                         report.active.push_back({run.first, run.second, ""});
+                     }
+                     std::deque<finished_run> const& all =
+                         this->finished[look.worker];
+                     report.finished.assign(all.begin(), all.end());
+                     this->feed(
+                         look_answered{look.worker, look.token, sent, report});
+                 });
+    }
+
+    void carry_out(start_task const& order)
+    {
+        this->at(this->now + way,
+                 [this, order]
+                 {
+                     this->active[order.worker][order.task] = order.run;
+                     this->feed(start_answered{order.worker,
+                                               order.task,
+                                               order.run,
+                                               order.token,
+                                               order_outcome::done});
+                 });
+        milliseconds const span = order.task.job[0] == 'w' ? work * 4 : work;
+        this->at(this->now + way + span,
+                 [this, order]
+                 {
+                     this->end(order.worker, order.task, run_end::done);
+                 });
+    }
+
+    void end(std::string const& worker, task_ref const& task, run_end how)
+    {
+        auto& here = this->active[worker];
+        auto const found = here.find(task);
+        if (found == here.end())
+        {
+            return;
+        }
+        this->finished[worker].push_back(
+            {++this->last_end[worker], task, found->second, how, ""});
+        here.erase(found);
+    }
+
+    void carry_out(stop_task const& order)
+    {
+        this->end(order.worker, order.task, run_end::stopped);
+        this->at(this->now + way,
+                 [this, order]
+                 {
+                     this->feed(stop_answered{order.worker,
+                                              order.task,
+                                              order.run,
+                                              order.token,
+                                              order_outcome::done});
+                 });
+    }
+
+    void carry_out(ask_advice const& call)
+    {
+        bool const wide = call.job[0] == 'w';
+        milliseconds const cost(
+            wide ? 442 + static_cast<std::int64_t>(call.workers.size()) * 6
+                 : 9 + static_cast<std::int64_t>(call.workers.size()) / 8);
+        instant& free_at = this->busy[call.asker];
+        free_at = std::max(free_at, this->now) + cost;
+        this->at(free_at + way,
+                 [this, call, wide]
+                 {
+                     advice_answered told;
+                     told.call = call.call;
+                     told.asker = call.asker;
+                     told.job = call.job;
+                     told.step = call.step;
+                     told.asked = call.workers;
+                     told.answered = true;
+                     told.validity = milliseconds{1500};
+                     for (std::string const& each : call.workers)
+                     {
+                         std::size_t const drawn =
+                             std::hash<std::string>()(call.job + each) % 100;
+                         if (drawn < (wide ? 25u : 70u))
+                         {
+                             told.allowed.push_back({each, "t"});
+                         }
+                     }
+                     this->feed(told);
+                 });
+    }
+
+    void carry_out(save_progress const& call)
+    {
+        this->at(this->now + way,
+                 [this, call]
+                 {
+                     progress_saved told;
+                     told.save = call.save;
+                     told.stored = true;
+                     told.revision = ++this->revision;
+                     for (progress_record const& each : call.records)
+                     {
+                         if (each.over)
+                         {
+                             this->ended.emplace(each.job, this->now);
+                         }
+                     }
+                     this->feed(told);
+                 });
+    }
+
+    void carry_out(log_decision const&) {}
+    void carry_out(give_up_placing const&) {}
+
+    scheduler_ptr scheduler = make_scheduler({}, this->now);
+    std::priority_queue<planned> agenda;
+    std::uint64_t order = 0;
+    std::int64_t revision = 1;
+    std::map<std::string, std::map<task_ref, std::uint64_t>> active;
+    std::map<std::string, std::deque<finished_run>> finished;
+    std::map<std::string, std::uint64_t> last_end;
+    std::map<std::string, instant> busy;
+    std::map<std::string, instant> arrived;
+    std::map<std::string, instant> ended;
+};
+
+job make_job(std::string const& id, bool wide, bool gang, int wide_cores)
+{
+    job made;
+    made.id = id;
+    made.queue.name = wide ? "wide" : "urgent";
+    made.queue.service = "s";
+    made.queue.priority = wide ? 1 : 0;
+    made.queue.slack_factor = wide ? 2.2 : 1.5;
+    made.queue.target = milliseconds{wide ? 1000 : 250};
+    made.queue.advice = wide ? advice_terms{442.0, 6.4, milliseconds{1500}}
+                             : advice_terms{9.4, 0.13, milliseconds{1500}};
+    made.spec = "x";
+    task_step only;
+    only.count = wide ? 16 : 3;
+    only.size = {(wide ? wide_cores : 5) * 1000, 4000, 0};
+    only.estimate = wide ? work * 4 : work;
+    only.gang = gang;
+    made.steps.push_back(only);
+    return made;
+}
+
+struct load_case
+{
+    char const* name;
+    int askers;
+    int wide_gap_ms; //!< between wide jobs of 16 tasks
+    int wide_cores;  //!< of each of their tasks
+    bool gangs;      //!< every third urgent job is one
+    double in_time;  //!< share of the urgent jobs, at least
+    double wide_in_time;
+};
+
+class a_burst : public testing::TestWithParam<load_case>
+{
+};
+
+double
+share_within(std::vector<milliseconds> const& times, milliseconds limit, int of)
+{
+    return static_cast<double>(std::count_if(times.begin(),
+                                             times.end(),
+                                             [limit](milliseconds each)
+                                             {
+                                                 return each <= limit;
+                                             })) /
+           static_cast<double>(of);
+}
+
+TEST_P(a_burst, of_wide_steps_leaves_urgent_jobs_in_time)
+{
+    load_case const& c = GetParam();
+    loaded_cell cell(c.askers);
+    int next_wide = 0;
+    for (int ms = 0; ms < 15'000; ms += 50)
+    {
+        if (ms >= next_wide)
+        {
+            next_wide += c.wide_gap_ms;
+            cell.hand_in(
+                make_job("w" + std::to_string(ms), true, false, c.wide_cores));
+        }
+        bool const gang = c.gangs && (ms / 50) % 3 == 0;
+        cell.hand_in(make_job("u" + std::to_string(ms), false, gang, 0));
+        cell.run(milliseconds{50});
+    }
+    cell.run(milliseconds{40'000});
+    EXPECT_EQ(cell.times("u").size(),
+              static_cast<std::size_t>(cell.handed_in("u")));
+    EXPECT_EQ(cell.times("w").size(),
+              static_cast<std::size_t>(cell.handed_in("w")));
+    milliseconds const urgent_limit = work * 3 / 2 + milliseconds{250};
+    milliseconds const wide_limit = work * 4 * 22 / 10 + milliseconds{1000};
+    EXPECT_GE(share_within(cell.times("u"), urgent_limit, cell.handed_in("u")),
+              c.in_time);
+    EXPECT_GE(share_within(cell.times("w"), wide_limit, cell.handed_in("w")),
+              c.wide_in_time);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    cases,
+    a_burst,
+    testing::Values(load_case{"calm", 9, 1500, 9, false, 0.95, 0.9},
+                    load_case{"calm_with_gangs", 9, 1500, 9, true, 0.95, 0.9},
+                    load_case{"few_askers", 3, 700, 9, true, 0.9, 0.0},
+                    load_case{"advice_is_scarce", 9, 120, 4, true, 0.9, 0.9},
+                    load_case{"overload", 9, 150, 9, true, 0.8, 0.0}),
+    [](testing::TestParamInfo<load_case> const& info)
+    {
+        return std::string(info.param.name);
+    });
+
+} // namespace
+} // namespace cicada::batch
