--- a/libs/batch/src/room.cpp
+++ b/libs/batch/src/room.cpp
@@ -10,7 +10,10 @@
 
 constexpr milliseconds ticket_margin{150}; //!< the way to the worker, twice
 constexpr std::size_t most_workers_asked = 100; //!< the bound of one call
-constexpr double spare_room = 1.5;    //!< others may take some meanwhile
+constexpr double spare_room = 1.5; //!< others may take some meanwhile
+/** Nothing is kept for a gang while it asks, and all of it must fit at once:
+ * with many workers allowed it needs little room on each. */
+constexpr double spare_gang_room = 4.0;
 constexpr double least_allowed = 3.0; //!< workers, so that chance evens out
 constexpr double cheap_part = 0.25;   //!< of a call's time, for more workers
 constexpr int held_a_task = 3;        //!< workers kept for a task that asks
@@ -217,7 +220,8 @@
     double const share = allowed_share(s, *step.j);
     double room = 0.0;    // expected, in tasks
     double workers = 0.0; // expected to be allowed
-    double const wanted = step.record().waiting * spare_room;
+    double const wanted = step.record().waiting *
+                          (step.shape().gang ? spare_gang_room : spare_room);
     advice_terms const& terms = *step.j->accepted.queue.advice;
     double const cheap = terms.decision_ms * cheap_part;
     int to_hold = held_workers(step);
