Start placing when a claim without an answer turns out to be done

A claim whose answer is lost is looked for; if it is done after the look (a change without an answer may be done seconds later), the key named a daemon that took the claim for lost, renewed its lease, and never placed; the others saw a living placer. A daemon that sees the key name it now places; the answer of the claim, should it come, changes nothing more. Also the linter's findings in the soak and the load test.

--- a/libs/batch/tests/advice_load_test.cpp
+++ b/libs/batch/tests/advice_load_test.cpp
@@ -38,6 +38,7 @@
         }
         this->feed(workers_complete{});
         std::vector<std::string> names;
+        names.reserve(static_cast<std::size_t>(askers));
         for (int k = 0; k < askers; ++k)
         {
             names.push_back("d" + std::to_string(10 + k));
@@ -286,7 +287,8 @@
     made.spec = "x";
     task_step only;
     only.count = wide ? 16 : 3;
-    only.size = {(wide ? wide_cores : 5) * 1000, 4000, 0};
+    only.size = resources{1000, 4000, 0};
+    only.size.milli_cores *= wide ? wide_cores : 5;
     only.estimate = wide ? work * 4 : work;
     only.gang = gang;
     made.steps.push_back(only);
--- a/libs/cell/src/cell_membership.cpp
+++ b/libs/cell/src/cell_membership.cpp
@@ -243,12 +243,15 @@
 void cell_daemon::impl::take_view(watched_prefix::items const& items)
 {
     membership::cell_view const view = decode_view(items);
-    if (this->placing && view.placer &&
-        view.placer->name == this->shared.settings.name &&
-        view.placer->incarnation == this->incarnation)
+    if (view.placer && view.placer->name == this->shared.settings.name &&
+        view.placer->incarnation == this->incarnation &&
+        view.epoch_revision > this->epoch_revision)
     {
         this->epoch_revision = view.epoch_revision;
-        this->placing->set_epoch_revision(view.epoch_revision);
+        if (this->placing)
+        {
+            this->placing->set_epoch_revision(view.epoch_revision);
+        }
     }
     this->member_step(membership::view_changed{view});
     this->connect_peers();
--- a/libs/membership/src/membership.cpp
+++ b/libs/membership/src/membership.cpp
@@ -103,6 +103,12 @@
         {
             this->stop("another daemon has a higher epoch");
         }
+        // A claim whose answer was lost may be done after it was looked for.
+        if (placer && is_self(this->m, *placer) && !this->m.stopping &&
+            this->m.placing.value_or(0) < placer->epoch)
+        {
+            (*this)(claim_won{placer->epoch});
+        }
     }
 
     void operator()(lease_granted const& given) const
@@ -141,6 +147,10 @@
     void operator()(claim_won const& given) const
     {
         this->m.calling = false;
+        if (this->m.placing.value_or(0) >= given.epoch)
+        {
+            return; // told before, by the view
+        }
         this->m.vacant_since.reset();
         this->m.view.placer = placer_claim{this->m.settings.self.name,
                                            this->m.settings.self.incarnation,
--- a/libs/membership/tests/membership_test.cpp
+++ b/libs/membership/tests/membership_test.cpp
@@ -174,6 +174,18 @@
     EXPECT_GE((*second - *first).count(), 20);
 }
 
+TEST(a_claim_without_an_answer, that_is_done_later_makes_the_placer)
+{
+    driven d("a");
+    d.join(view_of(std::nullopt, 3, {"a", "b"}));
+    ASSERT_TRUE(d.time_to_claim(milliseconds{500}));
+    d.feed(claim_lost{}); // it was looked for and not found
+    EXPECT_TRUE(has<start_placing>(
+        d.feed(view_changed{view_of(placer_claim{"a", 5, 4}, 4, {"a", "b"})})));
+    EXPECT_EQ(d.state.placing, 4u);
+    EXPECT_FALSE(has<start_placing>(d.feed(claim_won{4})));
+}
+
 // ---- the placer
 
 class a_placer : public testing::Test
--- a/libs/soak/src/callers.cpp
+++ b/libs/soak/src/callers.cpp
@@ -89,9 +89,9 @@
         batch::task_step step;
         step.gang = this->shared.chance(0.15);
         step.count = this->shared.draw_int(1, 4);
-        step.size = {this->shared.draw_int(1, 9) * 1000,
-                     this->shared.draw_int(1, 8) * 512,
-                     0};
+        step.size = resources{1000, 512, 0};
+        step.size.milli_cores *= this->shared.draw_int(1, 9);
+        step.size.memory_mib *= this->shared.draw_int(1, 8);
         step.estimate = milliseconds(this->shared.draw_int(100, 1200));
         step.checkpointing = !step.gang && this->shared.chance(0.4);
         if (k > 0 && this->shared.chance(0.8))
--- a/libs/soak/src/process.cpp
+++ b/libs/soak/src/process.cpp
@@ -6,8 +6,7 @@
 #include <fcntl.h>
 #include <spawn.h>
 #include <sys/wait.h>
-
-extern char** environ;
+#include <unistd.h>
 
 namespace cicada::soak
 {
