Keep a roster of the workers that may run tasks, and place again after a fenced reclaim

Cause: (1) a new placer took the runs of jobs that had ended under its predecessor for runs without a size: a stop takes up to 900 ms, and started tasks over them (LIMIT). (2) It went by the list of workers: one whose entry had expired while it ran was taken for gone and its tasks started elsewhere (TWICE). Now: a worker with a run of unknown size gets nothing; workers are recorded under roster/ before their first task, under the epoch, and a new placer polls those that are missing from the list; conflicts compare the epoch itself; a lost claim reads the keys; a daemon that holds the key and was fenced claims a new epoch. Ruled out: orders of the old placer carried out late (workers refuse its token).

--- a/libs/batch/include/batch/batch.hpp
+++ b/libs/batch/include/batch/batch.hpp
@@ -134,6 +134,8 @@
 result<job> decode_job(std::string const& bytes);
 std::string encode_progress(job_progress const& progress);
 result<job_progress> decode_progress(std::string const& bytes);
+std::string encode_location(address const& where);
+result<address> decode_location(std::string const& bytes);
 
 // ---- workers -------------------------------------------------------------
 
@@ -237,6 +239,15 @@
     std::string worker;
 };
 
+/** A worker in the stored roster: an earlier placer may have started tasks on
+ * it, whether it is listed or not. */
+struct worker_recorded
+{
+    std::string worker;
+    address where;
+    std::int64_t revision = 0; //!< of the record
+};
+
 /** The placer has received the whole list of workers since its start. */
 struct worker_list_complete
 {
@@ -320,6 +331,16 @@
     std::map<std::string, std::int64_t> found;
 };
 
+/** The outcome of a save of the roster. */
+struct roster_saved
+{
+    std::uint64_t save = 0;
+    bool stored = false;
+    std::int64_t revision = 0; //!< of the records if they are stored
+    /** By worker: the revisions that differed from those expected. */
+    std::map<std::string, std::int64_t> found;
+};
+
 /** The names of the daemons that can request advice have changed. */
 struct advice_requesters_changed
 {
@@ -329,6 +350,7 @@
 using event_body = std::variant<time_passed,
                                 worker_listed,
                                 worker_unlisted,
+                                worker_recorded,
                                 worker_list_complete,
                                 job_stored,
                                 cancel_stored,
@@ -338,6 +360,7 @@
                                 stop_answered,
                                 advice_answered,
                                 progress_saved,
+                                roster_saved,
                                 advice_requesters_changed>;
 
 struct event
@@ -409,6 +432,23 @@
     std::vector<progress_record> records;
 };
 
+/** A change of one worker's record in the roster. */
+struct roster_change
+{
+    std::string worker;
+    std::optional<address> where; //!< none: the record is deleted
+    std::int64_t expected = 0;    //!< stored revision; 0: no record
+
+    bool operator==(roster_change const&) const = default;
+};
+
+/** Stores the changes of the roster in one transaction. */
+struct save_roster
+{
+    std::uint64_t save = 0;
+    std::vector<roster_change> changes;
+};
+
 /** A log entry about a decision. */
 struct log_decision
 {
@@ -426,6 +466,7 @@
                             stop_task,
                             request_advice,
                             save_progress,
+                            save_roster,
                             log_decision,
                             stop_placing>;
 
--- a/libs/batch/src/batch.cpp
+++ b/libs/batch/src/batch.cpp
@@ -18,6 +18,7 @@
     {
         this->s.list_lag = given.list_lag;
         expire_leases(this->s);
+        save_roster_changes(this->s);
         // No event reports that a requester or an avoided worker is available
         // again, so passes also run periodically.
         if (this->s.now >= this->s.next_placement + idle_place_pause)
@@ -36,6 +37,16 @@
         unlist_worker(this->s, given.worker);
     }
 
+    void operator()(worker_recorded const& given) const
+    {
+        record_worker(this->s, given);
+    }
+
+    void operator()(roster_saved const& given) const
+    {
+        handle_roster_outcome(this->s, given);
+    }
+
     void operator()(worker_list_complete const&) const
     {
         this->s.list_complete = true;
--- a/libs/batch/src/records.cpp
+++ b/libs/batch/src/records.cpp
@@ -142,6 +142,26 @@
     }
 }
 
+std::string encode_location(address const& where)
+{
+    return to_bytes(
+        json{{"v", record_version}, {"h", where.host}, {"p", where.port}});
+}
+
+result<address> decode_location(std::string const& bytes)
+{
+    try
+    {
+        json const from = from_bytes(bytes);
+        return address{from.at("h").get<std::string>(),
+                       from.at("p").get<std::uint16_t>()};
+    }
+    catch (json::exception const& problem)
+    {
+        return error{error_code::invalid_input, problem.what()};
+    }
+}
+
 std::string encode_progress(job_progress const& progress)
 {
     json done = json::array();
--- /dev/null
+++ b/libs/batch/src/roster.cpp
@@ -0,0 +1,123 @@
+#include "state.hpp"
+
+namespace cicada::batch
+{
+
+namespace
+{
+
+/** A transaction has up to 32 entries: the condition on the epoch, and for each
+ * change its write and the condition on its revision. */
+constexpr std::size_t max_changes_per_save = 15;
+constexpr std::size_t max_concurrent_roster_saves = 4;
+constexpr milliseconds roster_save_interval{25};
+
+/** Returns whether the next placer must wait for this worker. */
+bool may_run_tasks(scheduler const& s, worker_record const& w)
+{
+    return w.listed || !w.runs.empty() || (!w.synced && !s.settled);
+}
+
+std::optional<roster_change> change_of(scheduler const& s,
+                                       worker_record const& w)
+{
+    if (may_run_tasks(s, w))
+    {
+        return is_recorded(w)
+                   ? std::nullopt
+                   : std::optional<roster_change>(
+                         {w.offer.id, w.offer.where, w.roster_revision});
+    }
+    return w.roster_revision == 0
+               ? std::nullopt
+               : std::optional<roster_change>(
+                     {w.offer.id, std::nullopt, w.roster_revision});
+}
+
+} // namespace
+
+bool is_recorded(worker_record const& w)
+{
+    return w.recorded_address && *w.recorded_address == w.offer.where;
+}
+
+void record_worker(scheduler& s, worker_recorded const& given)
+{
+    bool const known = s.workers.count(given.worker) != 0;
+    worker_offer offer;
+    offer.id = given.worker;
+    offer.where = given.where;
+    worker_record& w = add_worker(s, offer);
+    w.listed = known && w.listed;
+    w.recorded_address = given.where;
+    w.roster_revision = given.revision;
+}
+
+void save_roster_changes(scheduler& s)
+{
+    if (s.stopped || s.now < s.next_roster_save)
+    {
+        return;
+    }
+    auto next = s.workers.begin();
+    while (next != s.workers.end() &&
+           s.roster_saves.size() < max_concurrent_roster_saves)
+    {
+        save_roster call;
+        for (; next != s.workers.end() &&
+               call.changes.size() < max_changes_per_save;
+             ++next)
+        {
+            std::optional<roster_change> const change =
+                change_of(s, next->second);
+            if (change && !next->second.roster_save_pending)
+            {
+                // Until the answer, the stored record is not known.
+                next->second.roster_save_pending = true;
+                next->second.recorded_address.reset();
+                call.changes.push_back(*change);
+            }
+        }
+        if (call.changes.empty())
+        {
+            return;
+        }
+        call.save = ++s.last_roster_save;
+        s.next_roster_save = s.now + roster_save_interval;
+        s.roster_saves[call.save] = call.changes;
+        s.effects.emplace_back(std::move(call));
+    }
+}
+
+void handle_roster_outcome(scheduler& s, roster_saved const& outcome)
+{
+    auto const found = s.roster_saves.find(outcome.save);
+    if (found == s.roster_saves.end())
+    {
+        return;
+    }
+    for (roster_change const& change : found->second)
+    {
+        worker_record& w = s.workers.at(change.worker);
+        w.roster_save_pending = false;
+        if (outcome.stored)
+        {
+            w.recorded_address = change.where;
+            w.roster_revision = change.where ? outcome.revision : 0;
+            s.placement_due = true;
+        }
+        auto const now_there = outcome.found.find(change.worker);
+        if (now_there != outcome.found.end())
+        {
+            // The record was changed by a save without an answer.
+            w.roster_revision = now_there->second;
+        }
+    }
+    if (!outcome.stored)
+    {
+        s.next_roster_save = s.now + s.settings.resend_interval;
+    }
+    s.roster_saves.erase(found);
+}
+
+} // namespace cicada::batch
--- a/libs/batch/src/state.hpp
+++ b/libs/batch/src/state.hpp
@@ -27,6 +27,8 @@
 {
     std::uint64_t run = 0;
     resources size;
+    /** The job isn't known: it ended under an earlier placer. */
+    bool unknown_size = false;
     run_phase phase = run_phase::starting;
     /** A start has no answer and may still be carried out late. */
     bool start_uncertain = false;
@@ -64,7 +66,12 @@
     instant avoid_until;
     int consecutive_failures = 0; //!< of tasks on this worker
     resources used;
+    int unknown_sizes = 0; //!< runs of unknown size; `used` lacks them
     std::map<task_ref, run_record> runs;
+    /** The address in the stored roster; none: not recorded. */
+    std::optional<address> recorded_address;
+    std::int64_t roster_revision = 0; //!< of its record; 0: none
+    bool roster_save_pending = false;
 };
 
 enum class task_phase
@@ -172,6 +179,10 @@
     std::map<std::uint64_t, std::vector<std::string>> jobs_by_save; //!< by save
     std::uint64_t last_save = 0;
     instant next_save;
+    /** The pending saves of the roster. */
+    std::map<std::uint64_t, std::vector<roster_change>> roster_saves;
+    std::uint64_t last_roster_save = 0;
+    instant next_roster_save;
     bool placement_due = false;
     instant next_placement;
     instant next_full_pass; //!< next pass over steps of all ranks
@@ -204,6 +215,8 @@
 
 // ---- workers.cpp
 
+/** Adds a record for the worker unless there is one. */
+worker_record& add_worker(scheduler& s, worker_offer const& offer);
 void list_worker(scheduler& s, worker_offer const& offer);
 void unlist_worker(scheduler& s, std::string const& id);
 void handle_poll_answer(scheduler& s, poll_answered const& answer);
@@ -249,6 +262,17 @@
 bool may_call_advisor(scheduler const& s, step_record const& record);
 void handle_advice(scheduler& s, advice_answered const& answer);
 
+// ---- roster.cpp
+
+void record_worker(scheduler& s, worker_recorded const& given);
+/** Stores which workers may run tasks, so that a later placer waits for those
+ * that are missing from the list. Called on time_passed. */
+void save_roster_changes(scheduler& s);
+void handle_roster_outcome(scheduler& s, roster_saved const& outcome);
+/** False until the worker's record is stored: a start before that could be
+ * unknown to the next placer. */
+bool is_recorded(worker_record const& w);
+
 // ---- saving.cpp
 
 void save_changes(scheduler& s);
--- a/libs/batch/src/workers.cpp
+++ b/libs/batch/src/workers.cpp
@@ -61,6 +61,8 @@
     record.phase = run_phase::running;
     record.started = s.now;
     record.checkpoint = seen.checkpoint;
+    record.unknown_size = task == nullptr;
+    w.unknown_sizes += record.unknown_size ? 1 : 0;
     bool wanted = false;
     if (task != nullptr)
     {
@@ -251,13 +253,14 @@
     {
         return;
     }
-    bool const all =
-        std::all_of(s.workers.begin(),
-                    s.workers.end(),
-                    [](auto const& entry)
-                    {
-                        return entry.second.synced || !entry.second.listed;
-                    });
+    // A worker that isn't listed may be running, with its entry lost: it counts
+    // until it answers or its lease must have expired.
+    bool const all = std::all_of(s.workers.begin(),
+                                 s.workers.end(),
+                                 [](auto const& entry)
+                                 {
+                                     return entry.second.synced;
+                                 });
     milliseconds const longest(static_cast<std::int64_t>(
         static_cast<double>(s.settings.lease.count()) * clock_drift_factor));
     bool const waited = s.now > s.started_at + longest + lease_margin;
@@ -283,6 +286,7 @@
     if (found != w.runs.end())
     {
         w.used = w.used - found->second.size;
+        w.unknown_sizes -= found->second.unknown_size ? 1 : 0;
         w.runs.erase(found);
         s.placement_due = true;
     }
@@ -290,8 +294,8 @@
 
 bool usable(scheduler const& s, worker_record const& w)
 {
-    return w.listed && w.synced && !w.offer.draining &&
-           w.avoid_until <= s.now &&
+    return w.listed && w.synced && !w.offer.draining && is_recorded(w) &&
+           w.unknown_sizes == 0 && w.avoid_until <= s.now &&
            s.now < w.clock_read_at + s.settings.poll_wait * 2;
 }
 
@@ -306,21 +310,24 @@
     return w.clock_ms + span.count();
 }
 
-void list_worker(scheduler& s, worker_offer const& offer)
+worker_record& add_worker(scheduler& s, worker_offer const& offer)
 {
-    auto const found = s.workers.find(offer.id);
-    if (found == s.workers.end())
+    std::uint32_t const number = static_cast<std::uint32_t>(s.workers.size());
+    auto const added = s.workers.emplace(offer.id, worker_record{});
+    worker_record& w = added.first->second;
+    if (added.second)
     {
-        std::uint32_t const number =
-            static_cast<std::uint32_t>(s.workers.size());
-        worker_record& w = s.workers[offer.id];
         w.number = number;
         w.offer = offer;
         w.next_poll = s.now;
         begin_incarnation(s, w, offer.incarnation);
-        return;
     }
-    worker_record& w = found->second;
+    return w;
+}
+
+void list_worker(scheduler& s, worker_offer const& offer)
+{
+    worker_record& w = add_worker(s, offer);
     if (offer.draining && !w.offer.draining)
     {
         log(s,
@@ -431,7 +438,8 @@
 
 void poll_if_due(scheduler& s, worker_record& w)
 {
-    if (w.poll_pending || w.next_poll > s.now || (!w.listed && w.runs.empty()))
+    bool const may_run_tasks = !w.runs.empty() || (!w.synced && !s.settled);
+    if (w.poll_pending || w.next_poll > s.now || (!w.listed && !may_run_tasks))
     {
         return;
     }
--- a/libs/batch/tests/cell_model.cpp
+++ b/libs/batch/tests/cell_model.cpp
@@ -12,6 +12,7 @@
 constexpr milliseconds max_old_placer_span{4000};
 constexpr milliseconds partition_span{8000};
 constexpr milliseconds store_outage_span{5000};
+constexpr milliseconds list_gap_span{3000};
 constexpr milliseconds answer_timeout{
     500}; //!< after it a call counts as unanswered
 
@@ -106,6 +107,10 @@
     {
         this->replace_worker(any);
     }
+    if (this->chance(this->settings.injected.list_gaps * share))
+    {
+        this->hide_worker(any);
+    }
     if (this->chance(this->settings.injected.partitions * share))
     {
         worker_model* const w = this->workers[any].get();
@@ -150,6 +155,27 @@
              });
 }
 
+/** Removes the entry of a worker that goes on running, for a while, as when its
+ * writes to the store fail. */
+void cell_model::hide_worker(std::size_t which)
+{
+    worker_model* const w = this->workers[which].get();
+    w->listed = false;
+    for (std::size_t p = 0; p < this->placers.size(); ++p)
+    {
+        this->feed(p, worker_unlisted{w->offer.id});
+    }
+    this->at(list_gap_span,
+             [this, w]
+             {
+                 w->listed = true;
+                 for (std::size_t p = 0; p < this->placers.size(); ++p)
+                 {
+                     this->feed(p, worker_listed{w->offer});
+                 }
+             });
+}
+
 /** Advances gangs, each only while all members of one run are active. */
 void cell_model::advance_gangs(milliseconds span)
 {
@@ -164,7 +190,7 @@
     {
         for (auto const& entry : w->runs)
         {
-            if (entry.second.gang)
+            if (entry.second.gang && !entry.second.stops_at)
             {
                 gangs[{entry.first.job, entry.first.step, entry.second.run}]
                     .push_back({w.get(), entry.first});
@@ -329,10 +355,21 @@
             this->feed(p, cancel_stored{id});
         }
     }
+    for (auto const& entry : this->roster)
+    {
+        this->feed(
+            p,
+            worker_recorded{entry.first,
+                            entry.second.first,
+                            static_cast<std::int64_t>(entry.second.second)});
+    }
     this->feed(p, advice_requesters_changed{{"a", "b", "c"}});
     for (std::unique_ptr<worker_model> const& w : this->workers)
     {
-        this->feed(p, worker_listed{w->offer});
+        if (w->listed)
+        {
+            this->feed(p, worker_listed{w->offer});
+        }
     }
     this->feed(p, worker_list_complete{});
 }
@@ -409,6 +446,10 @@
             {
                 this->deliver_save(p, each);
             }
+            else if constexpr (std::is_same_v<kind, save_roster>)
+            {
+                this->deliver_roster(p, each);
+            }
         },
         what);
 }
@@ -520,6 +561,15 @@
              });
 }
 
+milliseconds cell_model::draw_stop_span()
+{
+    milliseconds const longest = this->settings.injected.stop_span;
+    return longest.count() == 0
+               ? longest
+               : milliseconds{this->random() %
+                              static_cast<unsigned>(longest.count())};
+}
+
 void cell_model::deliver_stop(std::size_t p, stop_task const& order)
 {
     stop_answered unanswered{order.worker,
@@ -534,7 +584,8 @@
                  stop_answered done = unanswered;
                  if (w != nullptr)
                  {
-                     done.outcome = w->stop(this->now, order);
+                     done.outcome =
+                         w->stop(this->now, order, this->draw_stop_span());
                  }
                  this->reply(p, done, unanswered);
              });
@@ -615,6 +666,80 @@
     return outcome;
 }
 
+/** Stores all changes, or none if the epoch or a revision isn't as expected. */
+roster_saved cell_model::store_roster(std::size_t p, save_roster const& call)
+{
+    roster_saved outcome;
+    outcome.save = call.save;
+    if (this->placers[p].epoch != this->epoch || this->now < this->store_up_at)
+    {
+        return outcome;
+    }
+    for (roster_change const& change : call.changes)
+    {
+        auto const stored = this->roster.find(change.worker);
+        std::int64_t const found =
+            stored == this->roster.end()
+                ? 0
+                : static_cast<std::int64_t>(stored->second.second);
+        if (found != change.expected)
+        {
+            outcome.found[change.worker] = found;
+        }
+    }
+    if (!outcome.found.empty())
+    {
+        return outcome;
+    }
+    this->revision += 1;
+    outcome.stored = true;
+    outcome.revision = static_cast<std::int64_t>(this->revision);
+    for (roster_change const& change : call.changes)
+    {
+        if (change.where)
+        {
+            this->roster[change.worker] = {*change.where, this->revision};
+        }
+        else
+        {
+            this->roster.erase(change.worker);
+        }
+    }
+    return outcome;
+}
+
+void cell_model::deliver_roster(std::size_t p, save_roster const& call)
+{
+    roster_saved unanswered;
+    unanswered.save = call.save;
+    if (this->chance(this->settings.injected.late_save))
+    {
+        this->at(milliseconds{1000 + this->random() % 5000},
+                 [this, p, call]
+                 {
+                     this->store_roster(p, call);
+                 });
+        this->at(answer_timeout,
+                 [this, p, unanswered]
+                 {
+                     this->feed(p, unanswered);
+                 });
+        return;
+    }
+    this->at(this->latency(),
+             [this, p, call, unanswered]
+             {
+                 bool const unknown =
+                     this->chance(this->settings.injected.store_unknown);
+                 roster_saved const done = this->store_roster(p, call);
+                 this->at(this->latency(),
+                          [this, p, body = unknown ? unanswered : done]
+                          {
+                              this->feed(p, body);
+                          });
+             });
+}
+
 void cell_model::deliver_save(std::size_t p, save_progress const& call)
 {
     progress_saved unanswered;
--- a/libs/batch/tests/cell_model.hpp
+++ b/libs/batch/tests/cell_model.hpp
@@ -30,6 +30,8 @@
     double task_fails = 0.02;   //!< of runs
     double cancels = 0.02;      //!< of jobs
     double duplicates = 0.0;    //!< of jobs: sent to the placer again later
+    double list_gaps = 0.0;     //!< per second: a live worker's entry is absent
+    milliseconds stop_span{0};  //!< that a stopped run goes on for, at most
 
     bool operator==(faults const&) const = default;
 };
@@ -82,7 +84,11 @@
     void deliver_save(std::size_t placer, save_progress const& call);
     progress_saved store_progress(std::size_t placer,
                                   save_progress const& call);
+    void deliver_roster(std::size_t placer, save_roster const& call);
+    roster_saved store_roster(std::size_t placer, save_roster const& call);
     void replace_worker(std::size_t which);
+    void hide_worker(std::size_t which);
+    milliseconds draw_stop_span();
     void
     reply(std::size_t placer, event_body answer, event_body answer_timeout);
     worker_model* find_reachable(std::string const& worker);
@@ -116,6 +122,8 @@
     std::map<std::string, std::pair<job, std::uint64_t>> jobs; //!< not ended
     std::map<std::string, std::pair<std::string, std::uint64_t>> progress;
     std::set<std::string> cancels;
+    /** The roster's records by worker, with their revisions. */
+    std::map<std::string, std::pair<address, std::uint64_t>> roster;
     std::int64_t next_incarnation = 1;
     instant store_up_at;
     int submitted_jobs = 0;
--- a/libs/batch/tests/model_test.cpp
+++ b/libs/batch/tests/model_test.cpp
@@ -56,6 +56,12 @@
         fault_case{"failing_tasks", {.task_fails = 0.3}},
         fault_case{"cancels", {.cancels = 0.5}},
         fault_case{"duplicates", {.takeovers = 0.5, .duplicates = 0.5}},
+        fault_case{"slow_stops",
+                   {.takeovers = 0.7,
+                    .task_fails = 0.3,
+                    .cancels = 0.4,
+                    .stop_span = milliseconds{900}}},
+        fault_case{"list_gaps", {.takeovers = 0.5, .list_gaps = 0.4}},
         fault_case{"all",
                    {.lost_answer = 0.03,
                     .late_order = 0.03,
@@ -67,7 +73,9 @@
                     .late_save = 0.05,
                     .task_fails = 0.1,
                     .cancels = 0.1,
-                    .duplicates = 0.2}}),
+                    .duplicates = 0.2,
+                    .list_gaps = 0.1,
+                    .stop_span = milliseconds{400}}}),
     [](testing::TestParamInfo<fault_case> const& info)
     {
         return std::string(info.param.name);
--- a/libs/batch/tests/placing_test.cpp
+++ b/libs/batch/tests/placing_test.cpp
@@ -23,6 +23,8 @@
         this->feed(worker_list_complete{});
         this->feed(poll_answered{"w1", this->token, this->now, {}});
         this->feed(poll_answered{"w1", this->token, this->now, {}});
+        this->feed(time_passed{});
+        this->feed(roster_saved{this->roster_call.save, true, 5, {}});
     }
 
     void feed(event_body body)
@@ -35,6 +37,10 @@
             {
                 this->token = std::get<poll_worker>(each).token;
             }
+            if (std::holds_alternative<save_roster>(each))
+            {
+                this->roster_call = std::get<save_roster>(each);
+            }
             if (std::holds_alternative<start_task>(each))
             {
                 this->starts += 1;
@@ -62,6 +68,7 @@
     std::uint64_t token = 0;
     int starts = 0;
     start_task last;
+    save_roster roster_call;
 };
 
 TEST_F(one_worker, counts_a_job_as_pending_until_a_start_is_confirmed)
--- a/libs/batch/tests/worker_model.cpp
+++ b/libs/batch/tests/worker_model.cpp
@@ -57,7 +57,7 @@
     }
     this->extend(order.lease_until);
     this->runs[order.task] = {
-        order.run, shape.size, work, fails, shape.gang, now};
+        order.run, shape.size, work, fails, shape.gang, now, {}};
     this->invariants.started(now,
                              order.task,
                              order.run,
@@ -67,7 +67,8 @@
     return order_outcome::done;
 }
 
-order_outcome worker_model::stop(instant, stop_task const& order)
+order_outcome
+worker_model::stop(instant now, stop_task const& order, milliseconds span)
 {
     if (order.token < this->token)
     {
@@ -79,7 +80,14 @@
     auto const here = this->runs.find(order.task);
     if (here != this->runs.end() && here->second.run == order.run)
     {
-        this->end(order.task, run_end::stopped);
+        if (span.count() == 0)
+        {
+            this->end(order.task, run_end::stopped);
+        }
+        else if (!here->second.stops_at)
+        {
+            here->second.stops_at = now + span;
+        }
     }
     return order_outcome::done;
 }
@@ -158,6 +166,14 @@
             over.emplace_back(entry.first, run_end::lapsed);
             continue;
         }
+        if (run.stops_at)
+        {
+            if (now >= *run.stops_at)
+            {
+                over.emplace_back(entry.first, run_end::stopped);
+            }
+            continue;
+        }
         if (run.gang)
         {
             continue;
--- a/libs/batch/tests/worker_model.hpp
+++ b/libs/batch/tests/worker_model.hpp
@@ -16,6 +16,7 @@
     bool fails = false; //!< ends as failed instead of done
     bool gang = false;
     instant began;
+    std::optional<instant> stops_at;
 };
 
 class worker_model
@@ -32,7 +33,8 @@
                         task_step const& shape,
                         milliseconds work,
                         bool fails);
-    order_outcome stop(instant now, stop_task const& order);
+    /** The run goes on for `span` before it ends as stopped. */
+    order_outcome stop(instant now, stop_task const& order, milliseconds span);
     /** Returns nullopt if the token is too low. */
     std::optional<worker_report> poll(instant now, poll_worker const& order);
 
@@ -50,6 +52,7 @@
     /** Returns the worker's own clock, which runs 2% slow. */
     std::int64_t clock(instant now) const;
     bool partitioned = false; //!< unreachable, but still running
+    bool listed = true;       //!< in the list of workers
 
 private:
     void extend(std::optional<std::int64_t> until);
--- a/libs/cell/src/cell_impl.hpp
+++ b/libs/cell/src/cell_impl.hpp
@@ -38,6 +38,7 @@
     void handle_claim_reply(membership::claim_placer const& claim,
                             result<platform::kv_commit_result> const& reply);
     void check_claim(membership::claim_placer const& claim);
+    void set_claim(std::uint64_t epoch, std::int64_t revision);
     void handle_view(watched_prefix::items const& items);
     void connect_peers();
 
--- a/libs/cell/src/cell_membership.cpp
+++ b/libs/cell/src/cell_membership.cpp
@@ -158,13 +158,13 @@
     switch (reply.assume_value().outcome)
     {
     case platform::kv_commit_status::committed:
-        this->epoch_revision = reply.assume_value().revision;
+        this->set_claim(claim.epoch, reply.assume_value().revision);
         this->step_membership(membership::claim_won{claim.epoch});
         return;
     case platform::kv_commit_status::conflict:
         this->shared.log_event(events::placer_claim_lost,
                                "epoch=" + std::to_string(claim.epoch));
-        this->step_membership(membership::claim_lost{});
+        this->check_claim(claim);
         return;
     case platform::kv_commit_status::no_lease:
         this->step_membership(membership::lease_ended{});
@@ -172,7 +172,20 @@
     }
 }
 
-/** Reads the keys to find out whether a claim without an answer succeeded. */
+void cell_daemon::impl::set_claim(std::uint64_t epoch, std::int64_t revision)
+{
+    this->epoch_revision = std::max(this->epoch_revision, revision);
+    if (this->active_placer)
+    {
+        this->active_placer->set_claim(epoch, revision);
+    }
+}
+
+/**
+ * Reads the keys to find out whether a claim without an answer succeeded, or
+ * what a claim conflicted with: the view must not stay out of date, or every
+ * further claim would conflict too.
+ */
 void cell_daemon::impl::check_claim(membership::claim_placer const& claim)
 {
     this->shared.store.range(
@@ -200,11 +213,17 @@
                               view.placer->epoch == claim.epoch;
             if (mine)
             {
-                this->epoch_revision = view.epoch_revision;
+                this->set_claim(claim.epoch, view.epoch_revision);
                 this->step_membership(membership::claim_won{claim.epoch});
                 return;
             }
             this->step_membership(membership::claim_lost{});
+            // The watch may have seen later changes than this read.
+            if (page.assume_value().at_revision >=
+                this->cell_watch->known_revision())
+            {
+                this->handle_view(items);
+            }
         });
 }
 
@@ -256,11 +275,7 @@
         view.placer->incarnation == this->incarnation &&
         view.epoch_revision > this->epoch_revision)
     {
-        this->epoch_revision = view.epoch_revision;
-        if (this->active_placer)
-        {
-            this->active_placer->set_epoch_revision(view.epoch_revision);
-        }
+        this->set_claim(view.placer->epoch, view.epoch_revision);
     }
     this->step_membership(membership::view_changed{view});
     this->connect_peers();
--- a/libs/cell/src/keys.cpp
+++ b/libs/cell/src/keys.cpp
@@ -68,6 +68,11 @@
         .dump();
 }
 
+std::uint64_t decode_epoch(std::string const& bytes)
+{
+    return std::strtoull(bytes.c_str(), nullptr, 10);
+}
+
 membership::cell_view
 decode_view(std::map<std::string, platform::kv_item> const& items)
 {
@@ -92,7 +97,7 @@
         }
         else if (item.key == keys::epoch)
         {
-            view.epoch = std::strtoull(item.value.c_str(), nullptr, 10);
+            view.epoch = decode_epoch(item.value);
             view.epoch_revision = item.revision;
         }
     }
--- a/libs/cell/src/keys.hpp
+++ b/libs/cell/src/keys.hpp
@@ -18,6 +18,8 @@
 constexpr char const* cancels = "in/cancel/";
 constexpr char const* progress = "out/"; //!< of unfinished jobs
 constexpr char const* ends = "end/";     //!< final states of finished jobs
+/** Workers that may run tasks; read by a new placer. */
+constexpr char const* roster = "roster/";
 constexpr char const* config = "op/config";
 constexpr char const* workers = "servers/";
 
@@ -32,6 +34,9 @@
 std::string encode_claim(membership::placer_claim const& claim);
 std::string encode_member(membership::member const& each);
 
+/** The value of the epoch's key; 0 if it can't be decoded. */
+std::uint64_t decode_epoch(std::string const& bytes);
+
 /** Omits items that can't be decoded. */
 membership::cell_view
 decode_view(std::map<std::string, platform::kv_item> const& items);
--- a/libs/cell/src/placer.cpp
+++ b/libs/cell/src/placer.cpp
@@ -57,7 +57,7 @@
                std::uint64_t own_epoch,
                std::int64_t revision)
     : shared(daemon_context), ports(std::move(daemon_ports)), epoch(own_epoch),
-      epoch_revision(revision)
+      claimed_epoch(own_epoch), epoch_revision(revision)
 {
 }
 
@@ -94,6 +94,7 @@
     {
         std::optional<platform::kv_page> intake;
         std::optional<platform::kv_page> progress;
+        std::optional<platform::kv_page> roster;
         bool failed = false;
     };
     auto pages = std::make_shared<record_pages>();
@@ -116,10 +117,12 @@
             return;
         }
         into = std::move(page.assume_value());
-        if (pages->intake && pages->progress)
+        if (pages->intake && pages->progress && pages->roster)
         {
             self->intake_revision = pages->intake->at_revision;
-            self->handle_records(pages->intake->items, pages->progress->items);
+            self->handle_records(pages->intake->items,
+                                 pages->progress->items,
+                                 pages->roster->items);
         }
     };
     this->shared.store.range(
@@ -134,10 +137,37 @@
         {
             receive_page(pages->progress, std::move(page));
         });
+    this->shared.store.range(
+        keys::roster,
+        [pages, receive_page](result<platform::kv_page> page)
+        {
+            receive_page(pages->roster, std::move(page));
+        });
+}
+
+void placer::handle_roster(std::vector<platform::kv_item> const& roster)
+{
+    for (platform::kv_item const& item : roster)
+    {
+        result<address> const read = batch::decode_location(item.value);
+        if (!read.has_value())
+        {
+            this->shared.log_event(events::malformed_answer,
+                                   "key=" + item.key + " " +
+                                       describe(read.assume_error()));
+        }
+        // A worker whose address can't be read never answers, so the scheduler
+        // waits until its lease must have expired.
+        this->step_scheduler(batch::worker_recorded{
+            keys::strip_prefix(item.key, keys::roster),
+            read.has_value() ? read.assume_value() : address{},
+            item.revision});
+    }
 }
 
 void placer::handle_records(std::vector<platform::kv_item> const& stored,
-                            std::vector<platform::kv_item> const& progress)
+                            std::vector<platform::kv_item> const& progress,
+                            std::vector<platform::kv_item> const& roster)
 {
     batch::scheduler_settings settings;
     settings.epoch = this->epoch;
@@ -192,6 +222,7 @@
             this->step_scheduler(batch::cancel_stored{id});
         }
     }
+    this->handle_roster(roster);
     this->loaded = true;
     this->step_scheduler(batch::advice_requesters_changed{this->askers});
     for (job_message const& received : this->early_jobs)
@@ -281,9 +312,13 @@
     }
 }
 
-void placer::set_epoch_revision(std::int64_t revision)
+void placer::set_claim(std::uint64_t claimed, std::int64_t revision)
 {
-    this->epoch_revision = revision;
+    if (claimed >= this->claimed_epoch)
+    {
+        this->claimed_epoch = claimed;
+        this->epoch_revision = revision;
+    }
 }
 
 void placer::handle_intake(watched_prefix::items const& known,
@@ -573,13 +608,9 @@
     platform::kv_commit_result const& outcome = reply.assume_value();
     event.stored = outcome.outcome == platform::kv_commit_status::committed;
     event.revision = outcome.revision;
-    bool superseded = false;
+    bool const superseded = this->is_superseded(outcome.found);
     for (platform::kv_item const& item : outcome.found)
     {
-        if (item.key == keys::epoch)
-        {
-            superseded = item.revision != this->epoch_revision;
-        }
         std::string const job = keys::strip_prefix(item.key, keys::progress);
         if (!job.empty())
         {
@@ -599,6 +630,92 @@
     }
 }
 
+/**
+ * The epoch itself is compared: after this daemon has reclaimed its key, saves
+ * that were sent before conflict on the key's revision.
+ */
+bool placer::is_superseded(std::vector<platform::kv_item> const& found) const
+{
+    for (platform::kv_item const& item : found)
+    {
+        if (item.key == keys::epoch)
+        {
+            return decode_epoch(item.value) > this->claimed_epoch;
+        }
+    }
+    return false;
+}
+
+void placer::execute(batch::save_roster const& effect)
+{
+    platform::kv_transaction change;
+    change.conditions.push_back({keys::epoch, this->epoch_revision});
+    for (batch::roster_change const& each : effect.changes)
+    {
+        std::string const key = keys::roster + each.worker;
+        change.conditions.push_back({key, each.expected});
+        if (each.where)
+        {
+            change.writes.push_back(
+                {key, batch::encode_location(*each.where), 0});
+        }
+        else
+        {
+            change.deletes.push_back(key);
+        }
+    }
+    this->shared.store.commit(
+        change,
+        [self = this->shared_from_this(),
+         call = effect](result<platform::kv_commit_result> const& reply)
+        {
+            self->handle_roster_reply(call, reply);
+        });
+}
+
+void placer::handle_roster_reply(
+    batch::save_roster const& call,
+    result<platform::kv_commit_result> const& reply)
+{
+    batch::roster_saved event;
+    event.save = call.save;
+    if (!reply.has_value())
+    {
+        this->shared.log_event(events::store_unavailable,
+                               "what=roster " + describe(reply.assume_error()));
+        this->step_scheduler(event);
+        return;
+    }
+    platform::kv_commit_result const& outcome = reply.assume_value();
+    event.stored = outcome.outcome == platform::kv_commit_status::committed;
+    event.revision = outcome.revision;
+    if (!event.stored)
+    {
+        for (batch::roster_change const& each : call.changes)
+        {
+            event.found[each.worker] = 0; // unless the store lists the record
+        }
+    }
+    for (platform::kv_item const& item : outcome.found)
+    {
+        std::string const worker = keys::strip_prefix(item.key, keys::roster);
+        if (!worker.empty())
+        {
+            event.found[worker] = item.deleted ? 0 : item.revision;
+        }
+    }
+    if (!event.stored)
+    {
+        this->shared.log_event(events::store_unavailable,
+                               "what=roster conflict");
+    }
+    this->step_scheduler(event);
+    if (this->is_superseded(outcome.found) && !this->stopped)
+    {
+        this->ports.superseded();
+    }
+}
+
 void placer::execute(batch::log_decision const& effect)
 {
     this->shared.log_event(effect.number, effect.detail);
--- a/libs/cell/src/placer.hpp
+++ b/libs/cell/src/placer.hpp
@@ -40,8 +40,9 @@
     void handle_advice(batch::advice_answered const& answer);
     void set_askers(std::vector<std::string> const& names);
 
-    /** Sets the revision of the epoch key, which saves of progress require. */
-    void set_epoch_revision(std::int64_t revision);
+    /** Sets the highest epoch that this daemon has claimed and the revision of
+     * the epoch key, which saves require. */
+    void set_claim(std::uint64_t epoch, std::int64_t revision);
 
     /** None if the job isn't known, or the jobs haven't been read yet. */
     std::optional<batch::job_state> state_of(std::string const& job) const;
@@ -59,7 +60,9 @@
 
     void read_records();
     void handle_records(std::vector<platform::kv_item> const& intake,
-                        std::vector<platform::kv_item> const& progress);
+                        std::vector<platform::kv_item> const& progress,
+                        std::vector<platform::kv_item> const& roster);
+    void handle_roster(std::vector<platform::kv_item> const& roster);
     void watch_workers();
     void handle_workers(watched_prefix::items const& known,
                         std::vector<std::string> const& changed);
@@ -79,14 +82,20 @@
     void execute(batch::stop_task const& effect);
     void execute(batch::request_advice const& effect);
     void execute(batch::save_progress const& effect);
+    void execute(batch::save_roster const& effect);
     void execute(batch::log_decision const& effect);
     void handle_save_reply(batch::save_progress const& call,
                            result<platform::kv_commit_result> const& reply);
+    void handle_roster_reply(batch::save_roster const& call,
+                             result<platform::kv_commit_result> const& reply);
+    /** True if another placer has claimed an epoch since this one did. */
+    bool is_superseded(std::vector<platform::kv_item> const& found) const;
     void execute(batch::stop_placing const& effect);
 
     context& shared;
     placer_ports ports;
     std::uint64_t epoch;
+    std::uint64_t claimed_epoch; //!< at least `epoch`; higher after a reclaim
     std::int64_t epoch_revision;
     batch::scheduler_ptr scheduler;
     std::shared_ptr<watched_prefix> workers;
--- a/libs/cell/src/watched_prefix.cpp
+++ b/libs/cell/src/watched_prefix.cpp
@@ -43,6 +43,11 @@
     return this->last_answer;
 }
 
+std::int64_t watched_prefix::known_revision() const
+{
+    return this->revision;
+}
+
 void watched_prefix::read_all()
 {
     if (this->stopped)
--- a/libs/cell/src/watched_prefix.hpp
+++ b/libs/cell/src/watched_prefix.hpp
@@ -41,6 +41,9 @@
     /** Time of the last successful read or watch. */
     instant answered_at() const;
 
+    /** The store's revision that the known items correspond to. */
+    std::int64_t known_revision() const;
+
 private:
     void read_all();
     void handle_page(platform::kv_page page);
--- a/libs/membership/src/membership.cpp
+++ b/libs/membership/src/membership.cpp
@@ -48,7 +48,11 @@
 
 bool may_claim(membership_state const& m, instant now)
 {
-    if (!m.stopping && !m.placing_epoch && placer_presumed_dead(m, now))
+    bool const idle = !m.stopping && !m.placing_epoch;
+    // The key keeps the others from placing. A daemon that holds it and was
+    // fenced must place again, with a new epoch.
+    bool const holds_key = m.view.placer && is_self(m, *m.view.placer);
+    if (idle && (holds_key || placer_presumed_dead(m, now)))
     {
         return true;
     }
--- a/libs/membership/tests/membership_test.cpp
+++ b/libs/membership/tests/membership_test.cpp
@@ -231,6 +231,27 @@
     EXPECT_TRUE(has<stop_placing>(this->d.feed(placer_fenced{})));
 }
 
+// Its key keeps every other daemon from placing.
+TEST_F(active_placer, claims_a_new_epoch_when_it_was_fenced_but_holds_the_key)
+{
+    this->d.feed(registered{});
+    this->d.claimed = false;
+    this->d.feed(placer_fenced{});
+    std::optional<milliseconds> const waited =
+        this->d.time_to_claim(milliseconds{500});
+    ASSERT_TRUE(waited);
+    EXPECT_TRUE(has<start_placing>(this->d.feed(claim_won{5})));
+}
+
+TEST_F(active_placer, does_not_claim_when_it_was_fenced_and_lost_the_key)
+{
+    this->d.feed(registered{});
+    this->d.claimed = false;
+    this->d.feed(view_changed{view_of(placer_claim{"b", 7, 5}, 5, {"a", "b"})});
+    this->d.feed(placer_fenced{});
+    EXPECT_FALSE(this->d.time_to_claim(milliseconds{1000}));
+}
+
 TEST_F(active_placer, ends_its_lease_when_it_is_asked_to_stop)
 {
     std::vector<effect> const effects = this->d.feed(stop_requested{});
