--- a/libs/batch/tests/advice_load_test.cpp
+++ b/libs/batch/tests/advice_load_test.cpp
@@ -240,12 +240,12 @@
 
     void carry_out(save_roster const& call)
     {
-        this->at(this->now + round_trip,
-                 [this, call]
-                 {
-                     this->feed(
-                         roster_saved{call.save, true, ++this->revision, {}});
-                 });
+        this->at(
+            this->now + round_trip,
+            [this, call]
+            {
+                this->feed(roster_saved{call.save, true, ++this->revision, {}});
+            });
     }
 
     void carry_out(save_progress const& call)
--- a/libs/batch/tests/placing_test.cpp
+++ b/libs/batch/tests/placing_test.cpp
@@ -116,5 +116,50 @@
                                          list_case{1900, 0},
                                          list_case{60'000, 0}));
 
+TEST(worker_location, round_trips)
+{
+    address const where{"10.1.0.13", 8161};
+    result<address> const read = decode_location(encode_location(where));
+    ASSERT_TRUE(read.has_value());
+    EXPECT_EQ(read.assume_value(), where);
+}
+
+TEST(worker_location, that_is_malformed_is_an_error)
+{
+    for (std::string const& bytes :
+         {std::string(), std::string("\xff\xff"), std::string("\xa1\x61h\x01")})
+    {
+        EXPECT_FALSE(decode_location(bytes).has_value());
+    }
+}
+
+TEST_F(one_worker, gets_nothing_before_the_roster_names_it)
+{
+    worker_offer moved;
+    moved.id = "w1";
+    moved.service = "s";
+    moved.where = {"127.0.0.1", 2}; // not the recorded address
+    moved.capacity = {32'000, 65'536, 0};
+    this->feed(worker_listed{moved});
+    this->submit("a");
+    EXPECT_EQ(this->starts, 0);
+    this->feed(time_passed{});
+    this->feed(roster_saved{this->roster_call.save, true, 6, {}});
+    EXPECT_EQ(this->starts, 1);
+}
+
+TEST_F(one_worker, gets_nothing_while_a_run_of_unknown_size_is_active)
+{
+    worker_report report;
+    report.active.push_back({{"ended", 0, 0}, 9, ""});
+    this->feed(poll_answered{"w1", this->token, this->now, report});
+    this->submit("a");
+    EXPECT_EQ(this->starts, 0);
+    report.active.clear();
+    report.finished.push_back({1, {"ended", 0, 0}, 9, run_end::stopped, ""});
+    this->feed(poll_answered{"w1", this->token, this->now, report});
+    EXPECT_EQ(this->starts, 1);
+}
+
 } // namespace
 } // namespace cicada::batch
--- a/libs/cell/src/keys.cpp
+++ b/libs/cell/src/keys.cpp
@@ -2,6 +2,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+
 namespace cicada::cell
 {
 
@@ -73,6 +75,18 @@
     return std::strtoull(bytes.c_str(), nullptr, 10);
 }
 
+bool is_superseded(std::vector<platform::kv_item> const& found,
+                   std::uint64_t claimed_epoch)
+{
+    return std::any_of(found.begin(),
+                       found.end(),
+                       [claimed_epoch](platform::kv_item const& item)
+                       {
+                           return item.key == keys::epoch &&
+                                  decode_epoch(item.value) > claimed_epoch;
+                       });
+}
+
 membership::cell_view
 decode_view(std::map<std::string, platform::kv_item> const& items)
 {
--- a/libs/cell/src/keys.hpp
+++ b/libs/cell/src/keys.hpp
@@ -37,6 +37,12 @@
 /** The value of the epoch's key; 0 if it can't be decoded. */
 std::uint64_t decode_epoch(std::string const& bytes);
 
+/** Returns whether the items of a conflict show an epoch above the highest one
+ * that this daemon has claimed. The epoch is compared and not its key's
+ * revision, which also changes when the daemon claims its key again. */
+bool is_superseded(std::vector<platform::kv_item> const& found,
+                   std::uint64_t claimed_epoch);
+
 /** Omits items that can't be decoded. */
 membership::cell_view
 decode_view(std::map<std::string, platform::kv_item> const& items);
--- a/libs/cell/src/placer.cpp
+++ b/libs/cell/src/placer.cpp
@@ -608,7 +608,7 @@
     platform::kv_commit_result const& outcome = reply.assume_value();
     event.stored = outcome.outcome == platform::kv_commit_status::committed;
     event.revision = outcome.revision;
-    bool const superseded = this->is_superseded(outcome.found);
+    bool const superseded = is_superseded(outcome.found, this->claimed_epoch);
     for (platform::kv_item const& item : outcome.found)
     {
         std::string const job = keys::strip_prefix(item.key, keys::progress);
@@ -630,22 +630,6 @@
     }
 }
 
-/**
- * The epoch itself is compared: after this daemon has reclaimed its key, saves
- * that were sent before conflict on the key's revision.
- */
-bool placer::is_superseded(std::vector<platform::kv_item> const& found) const
-{
-    for (platform::kv_item const& item : found)
-    {
-        if (item.key == keys::epoch)
-        {
-            return decode_epoch(item.value) > this->claimed_epoch;
-        }
-    }
-    return false;
-}
-
 void placer::execute(batch::save_roster const& effect)
 {
     platform::kv_transaction change;
@@ -710,7 +694,7 @@
                                "what=roster conflict");
     }
     this->step_scheduler(event);
-    if (this->is_superseded(outcome.found) && !this->stopped)
+    if (is_superseded(outcome.found, this->claimed_epoch) && !this->stopped)
     {
         this->ports.superseded();
     }
--- a/libs/cell/src/placer.hpp
+++ b/libs/cell/src/placer.hpp
@@ -88,8 +88,6 @@
                            result<platform::kv_commit_result> const& reply);
     void handle_roster_reply(batch::save_roster const& call,
                              result<platform::kv_commit_result> const& reply);
-    /** True if another placer has claimed an epoch since this one did. */
-    bool is_superseded(std::vector<platform::kv_item> const& found) const;
     void execute(batch::stop_placing const& effect);
 
     context& shared;
--- a/libs/cell/tests/cell_test.cpp
+++ b/libs/cell/tests/cell_test.cpp
@@ -122,5 +122,41 @@
     EXPECT_EQ(view.placer->epoch, 12u);
 }
 
+struct conflict_case
+{
+    char const* name;
+    char const* key;
+    char const* epoch;
+    bool superseded;
+};
+
+class conflicting_save : public testing::TestWithParam<conflict_case>
+{
+};
+
+// The daemon has placed with epoch 4 and claimed its key again with epoch 5.
+TEST_P(conflicting_save, ends_the_placer_only_for_a_higher_epoch)
+{
+    conflict_case const& c = GetParam();
+    constexpr std::uint64_t claimed_epoch = 5;
+    constexpr std::int64_t any_revision = 900;
+    EXPECT_EQ(is_superseded({{"out/j", "", any_revision, 0},
+                             {c.key, c.epoch, any_revision, 0}},
+                            claimed_epoch),
+              c.superseded);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    cases,
+    conflicting_save,
+    testing::Values(conflict_case{"claimed_again", "cell/epoch", "5", false},
+                    conflict_case{"of_a_successor", "cell/epoch", "6", true},
+                    conflict_case{"malformed", "cell/epoch", "x", false},
+                    conflict_case{"of_another_key", "end/j", "6", false}),
+    [](testing::TestParamInfo<conflict_case> const& info)
+    {
+        return std::string(info.param.name);
+    });
+
 } // namespace
 } // namespace cicada::cell
