Keep taken-over runs until the longest lease has passed

Cause: a run that was adopted from an answer to a poll with an earlier token had no lease end, and the next tick dropped it as lapsed, though it ran on. The roster made that common: its workers are polled before the list shows their incarnation. Ruled out: the load of the machine (--no-cpu shows it). Now an adopted run counts until a lease given at that moment would be over. Test: taken_over_run.*, failing before.

--- a/libs/batch/src/workers.cpp
+++ b/libs/batch/src/workers.cpp
@@ -52,6 +52,15 @@
     }
 }
 
+/** Returns how long a lease given now may last by this daemon's clock. */
+milliseconds longest_lease(scheduler const& s)
+{
+    return milliseconds(static_cast<std::int64_t>(
+               static_cast<double>(s.settings.lease.count()) *
+               clock_drift_factor)) +
+           lease_margin;
+}
+
 /** Adopts a run that an earlier placer or a late order has started. */
 void adopt_run(scheduler& s, worker_record& w, active_run const& seen)
 {
@@ -89,6 +98,8 @@
     }
     w.used = w.used + record.size;
     w.runs[seen.task] = record;
+    // Whoever started it may have extended the lease until now.
+    w.lease_end = std::max(w.lease_end, s.now + longest_lease(s));
     if (!wanted)
     {
         stop_run(s, w, seen.task);
@@ -261,9 +272,7 @@
                                  {
                                      return entry.second.synced;
                                  });
-    milliseconds const longest(static_cast<std::int64_t>(
-        static_cast<double>(s.settings.lease.count()) * clock_drift_factor));
-    bool const waited = s.now > s.started_at + longest + lease_margin;
+    bool const waited = s.now > s.started_at + longest_lease(s);
     if ((s.list_complete && all) || waited)
     {
         s.settled = true;
--- a/libs/batch/tests/placing_test.cpp
+++ b/libs/batch/tests/placing_test.cpp
@@ -161,5 +161,52 @@
     EXPECT_EQ(this->starts, 1);
 }
 
+// The list shows that the recorded worker has restarted after the first poll
+// was sent, so that poll's answer doesn't carry the current token.
+TEST(taken_over_run, is_kept_although_the_worker_has_not_answered_the_new_token)
+{
+    instant now{milliseconds{10'000}};
+    scheduler_settings settings;
+    settings.epoch = 2;
+    scheduler_ptr const scheduler = make_scheduler(settings, now);
+    std::uint64_t first_token = 0;
+    int starts = 0;
+    auto const feed = [&](event_body body)
+    {
+        now += milliseconds{10};
+        for (effect const& each : step(*scheduler, {now, std::move(body)}))
+        {
+            if (std::holds_alternative<poll_worker>(each) && first_token == 0)
+            {
+                first_token = std::get<poll_worker>(each).token;
+            }
+            starts += std::holds_alternative<start_task>(each) ? 1 : 0;
+        }
+    };
+    job adopted;
+    adopted.id = "a";
+    adopted.queue.service = "s";
+    adopted.spec = "x";
+    adopted.epoch = 1;
+    adopted.steps.push_back({.size = {1000, 100, 0}});
+    feed(job_stored{adopted, {}, 0});
+    feed(worker_recorded{"w1", {"127.0.0.1", 1}, 3});
+    worker_offer offer;
+    offer.id = "w1";
+    offer.service = "s";
+    offer.where = {"127.0.0.1", 1};
+    offer.capacity = {32'000, 65'536, 0};
+    offer.incarnation = 5;
+    feed(worker_listed{offer});
+    worker_report report;
+    report.incarnation = 5;
+    report.active.push_back({{"a", 0, 0}, 4097, ""});
+    feed(poll_answered{"w1", first_token, now, report});
+    ASSERT_EQ(usage_of(*scheduler, "w1")->runs, 1);
+    feed(time_passed{});
+    EXPECT_EQ(usage_of(*scheduler, "w1")->runs, 1);
+    EXPECT_EQ(starts, 0);
+}
+
 } // namespace
 } // namespace cicada::batch
