Log ends, saves, acknowledgements, roster changes and the reads of a takeover

The lines of a TWICE incident could not tell its hypotheses apart: whether the roster lost a worker whose ends were not stored, a stored end was undone, or an end was acknowledged that no record held. Events 617 to 621 name for each run's end the worker and its number, for each save the jobs and the outcome, for each acknowledgement the worker and the number, for each roster change the workers and the outcome, and what a new placer read.

The outcome of a save is an enumeration now: a conflict and a missing answer were one value, although only the first says that nothing was stored. No decision depends on the difference.

--- a/libs/batch/include/batch/batch.hpp
+++ b/libs/batch/include/batch/batch.hpp
@@ -320,11 +320,18 @@
     bool answered = false; //!< false: the call failed
 };
 
-/** The outcome of a save. Its records count as stored only if `stored`. */
+enum class save_outcome
+{
+    stored,
+    conflict, //!< a condition didn't hold: nothing was stored
+    unknown   //!< no answer, or an error: may be stored, even seconds later
+};
+
+/** The outcome of a save. Only `stored` means that its records are stored. */
 struct progress_saved
 {
     std::uint64_t save = 0;
-    bool stored = false;
+    save_outcome outcome = save_outcome::unknown;
     std::int64_t revision = 0; //!< revision of the records if they are stored
     /** The jobs whose progress record had another revision than expected, with
      * that revision: an earlier save was stored, but its answer was lost. */
@@ -335,7 +342,7 @@
 struct roster_saved
 {
     std::uint64_t save = 0;
-    bool stored = false;
+    save_outcome outcome = save_outcome::unknown;
     std::int64_t revision = 0; //!< of the records if they are stored
     /** By worker: the revisions that differed from those expected. */
     std::map<std::string, std::int64_t> found;
--- a/libs/batch/src/roster.cpp
+++ b/libs/batch/src/roster.cpp
@@ -1,5 +1,7 @@
 #include "state.hpp"
 
+#include "event_numbers/event_numbers.hpp"
+
 namespace cicada::batch
 {
 
@@ -34,6 +36,24 @@
                      {w.offer.id, std::nullopt, w.roster_revision});
 }
 
+void log_roster_change(scheduler& s,
+                       roster_saved const& outcome,
+                       std::vector<roster_change> const& changes)
+{
+    std::string recorded;
+    std::string removed;
+    for (roster_change const& change : changes)
+    {
+        std::string& names = change.where ? recorded : removed;
+        names += (names.empty() ? "" : ",") + change.worker;
+    }
+    log(s,
+        events::roster_changed,
+        "save=" + std::to_string(outcome.save) +
+            " outcome=" + name_of(outcome.outcome) + " recorded=" + recorded +
+            " removed=" + removed);
+}
+
 } // namespace
 
 bool is_recorded(worker_record const& w)
@@ -96,11 +116,12 @@
     {
         return;
     }
+    log_roster_change(s, outcome, found->second);
     for (roster_change const& change : found->second)
     {
         worker_record& w = s.workers.at(change.worker);
         w.roster_save_pending = false;
-        if (outcome.stored)
+        if (outcome.outcome == save_outcome::stored)
         {
             w.recorded_address = change.where;
             w.roster_revision = change.where ? outcome.revision : 0;
@@ -113,7 +134,7 @@
             w.roster_revision = now_there->second;
         }
     }
-    if (!outcome.stored)
+    if (outcome.outcome != save_outcome::stored)
     {
         s.next_roster_save = s.now + s.settings.resend_interval;
     }
--- a/libs/batch/src/saving.cpp
+++ b/libs/batch/src/saving.cpp
@@ -1,5 +1,7 @@
 #include "state.hpp"
 
+#include "event_numbers/event_numbers.hpp"
+
 #include <algorithm>
 
 namespace cicada::batch
@@ -76,6 +78,41 @@
     return oldest;
 }
 
+char const* name_of(job_state state)
+{
+    switch (state)
+    {
+    case job_state::queued:
+        return "queued";
+    case job_state::running:
+        return "running";
+    case job_state::completed:
+        return "completed";
+    case job_state::failed:
+        return "failed";
+    case job_state::cancelled:
+        return "cancelled";
+    }
+    return "";
+}
+
+void log_save(scheduler& s,
+              progress_saved const& outcome,
+              std::vector<std::string> const& saved)
+{
+    std::string jobs;
+    for (std::string const& id : saved)
+    {
+        jobs += (jobs.empty() ? "" : ",") + id + ":" +
+                name_of(s.saving_jobs.at(id).state);
+    }
+    log(s,
+        events::progress_saved,
+        "save=" + std::to_string(outcome.save) +
+            " outcome=" + name_of(outcome.outcome) +
+            " revision=" + std::to_string(outcome.revision) + " jobs=" + jobs);
+}
+
 progress_record make_record(job_record const& j)
 {
     progress_record record;
@@ -129,11 +166,12 @@
     {
         return;
     }
+    log_save(s, outcome, found->second);
     for (std::string const& id : found->second)
     {
         saving_record const record = s.saving_jobs.at(id);
         s.saving_jobs.erase(id);
-        if (outcome.stored)
+        if (outcome.outcome == save_outcome::stored)
         {
             job_record& j = s.jobs.at(id);
             j.stored_state = record.state;
@@ -155,18 +193,40 @@
     }
 }
 
-void acknowledge_ends(scheduler const& s, worker_record& w)
+void acknowledge_ends(scheduler& s, worker_record& w)
 {
     if (w.unsaved_ends.empty())
     {
         return;
     }
+    std::uint64_t const before = w.acknowledged;
     std::uint64_t const first = first_unstored(s);
     while (!w.unsaved_ends.empty() && w.unsaved_ends.front().second < first)
     {
         w.acknowledged = w.unsaved_ends.front().first;
         w.unsaved_ends.pop_front();
     }
+    if (w.acknowledged != before)
+    {
+        log(s,
+            events::ends_acknowledged,
+            "worker=" + w.offer.id +
+                " through=" + std::to_string(w.acknowledged));
+    }
+}
+
+char const* name_of(save_outcome outcome)
+{
+    switch (outcome)
+    {
+    case save_outcome::stored:
+        return "stored";
+    case save_outcome::conflict:
+        return "conflict";
+    case save_outcome::unknown:
+        return "unknown";
+    }
+    return "";
 }
 
 } // namespace cicada::batch
--- a/libs/batch/src/state.hpp
+++ b/libs/batch/src/state.hpp
@@ -277,7 +277,8 @@
 
 void save_changes(scheduler& s);
 void handle_save_outcome(scheduler& s, progress_saved const& outcome);
-void acknowledge_ends(scheduler const& s, worker_record& w);
+void acknowledge_ends(scheduler& s, worker_record& w);
+char const* name_of(save_outcome outcome); //!< for the log
 
 void log(scheduler& s, int number, std::string detail);
 std::string to_string(task_ref const& task);
--- a/libs/batch/src/workers.cpp
+++ b/libs/batch/src/workers.cpp
@@ -146,6 +146,26 @@
     }
 }
 
+char const* name_of(run_end how)
+{
+    switch (how)
+    {
+    case run_end::done:
+        return "done";
+    case run_end::failed:
+        return "failed";
+    case run_end::stopped:
+        return "stopped";
+    case run_end::lapsed:
+        return "lapsed";
+    case run_end::broken:
+        return "broken";
+    case run_end::alone:
+        return "alone";
+    }
+    return "";
+}
+
 void handle_run_end(scheduler& s, worker_record& w, finished_run const& end)
 {
     auto const found = w.runs.find(end.task);
@@ -155,6 +175,12 @@
         release_run(s, w, end.task);
     }
     task_record* const task = find_task(s, end.task);
+    log(s,
+        events::run_ended,
+        "job=" + end.task.job + " task=" + to_string(end.task) +
+            " run=" + std::to_string(end.run) + " worker=" + w.offer.id +
+            " end=" + std::to_string(end.number) + " how=" + name_of(end.how) +
+            " known=" + (task == nullptr ? "no" : "yes"));
     if (task == nullptr)
     {
         return;
--- a/libs/batch/tests/advice_load_test.cpp
+++ b/libs/batch/tests/advice_load_test.cpp
@@ -244,7 +244,8 @@
             this->now + round_trip,
             [this, call]
             {
-                this->feed(roster_saved{call.save, true, ++this->revision, {}});
+                this->feed(roster_saved{
+                    call.save, save_outcome::stored, ++this->revision, {}});
             });
     }
 
@@ -255,7 +256,7 @@
                  {
                      progress_saved event;
                      event.save = call.save;
-                     event.stored = true;
+                     event.outcome = save_outcome::stored;
                      event.revision = ++this->revision;
                      for (progress_record const& each : call.records)
                      {
--- a/libs/batch/tests/cell_model.cpp
+++ b/libs/batch/tests/cell_model.cpp
@@ -640,10 +640,11 @@
     }
     if (!outcome.found.empty())
     {
+        outcome.outcome = save_outcome::conflict;
         return outcome;
     }
     this->revision += 1;
-    outcome.stored = true;
+    outcome.outcome = save_outcome::stored;
     outcome.revision = static_cast<std::int64_t>(this->revision);
     for (progress_record const& record : call.records)
     {
@@ -689,10 +690,11 @@
     }
     if (!outcome.found.empty())
     {
+        outcome.outcome = save_outcome::conflict;
         return outcome;
     }
     this->revision += 1;
-    outcome.stored = true;
+    outcome.outcome = save_outcome::stored;
     outcome.revision = static_cast<std::int64_t>(this->revision);
     for (roster_change const& change : call.changes)
     {
--- a/libs/batch/tests/placing_test.cpp
+++ b/libs/batch/tests/placing_test.cpp
@@ -24,7 +24,8 @@
         this->feed(poll_answered{"w1", this->token, this->now, {}});
         this->feed(poll_answered{"w1", this->token, this->now, {}});
         this->feed(time_passed{});
-        this->feed(roster_saved{this->roster_call.save, true, 5, {}});
+        this->feed(
+            roster_saved{this->roster_call.save, save_outcome::stored, 5, {}});
     }
 
     void feed(event_body body)
@@ -144,7 +145,8 @@
     this->submit("a");
     EXPECT_EQ(this->starts, 0);
     this->feed(time_passed{});
-    this->feed(roster_saved{this->roster_call.save, true, 6, {}});
+    this->feed(
+        roster_saved{this->roster_call.save, save_outcome::stored, 6, {}});
     EXPECT_EQ(this->starts, 1);
 }
 
--- a/libs/cell/src/placer.cpp
+++ b/libs/cell/src/placer.cpp
@@ -24,6 +24,21 @@
 constexpr std::size_t order_connections = 4; //!< a worker has about 64 in all
 constexpr milliseconds max_lease{6000};
 
+/** Saves carry no lease, so a missing one tells nothing about them. */
+batch::save_outcome save_outcome_of(platform::kv_commit_status status)
+{
+    switch (status)
+    {
+    case platform::kv_commit_status::committed:
+        return batch::save_outcome::stored;
+    case platform::kv_commit_status::conflict:
+        return batch::save_outcome::conflict;
+    case platform::kv_commit_status::no_lease:
+        return batch::save_outcome::unknown;
+    }
+    return batch::save_outcome::unknown;
+}
+
 /** Adds a job's progress to a transaction. A finished job keeps only its final
  * record, so that a new placer has few records to read. */
 void add_record(platform::kv_transaction& change,
@@ -165,10 +180,31 @@
     }
 }
 
+void placer::log_records(std::vector<platform::kv_item> const& stored,
+                         std::vector<platform::kv_item> const& progress,
+                         std::vector<platform::kv_item> const& roster)
+{
+    auto const is_job = [](platform::kv_item const& item)
+    {
+        return !keys::strip_prefix(item.key, keys::jobs).empty();
+    };
+    std::size_t const jobs = static_cast<std::size_t>(
+        std::count_if(stored.begin(), stored.end(), is_job));
+    this->shared.log_event(
+        events::records_read,
+        "epoch=" + std::to_string(this->epoch) +
+            " revision=" + std::to_string(this->intake_revision) +
+            " jobs=" + std::to_string(jobs) +
+            " progress=" + std::to_string(progress.size()) +
+            " cancels=" + std::to_string(stored.size() - jobs) +
+            " roster=" + std::to_string(roster.size()));
+}
+
 void placer::handle_records(std::vector<platform::kv_item> const& stored,
                             std::vector<platform::kv_item> const& progress,
                             std::vector<platform::kv_item> const& roster)
 {
+    this->log_records(stored, progress, roster);
     batch::scheduler_settings settings;
     settings.epoch = this->epoch;
     settings.lease = std::min(max_lease, this->shared.settings.lease_limit);
@@ -606,7 +642,7 @@
         return;
     }
     platform::kv_commit_result const& outcome = reply.assume_value();
-    event.stored = outcome.outcome == platform::kv_commit_status::committed;
+    event.outcome = save_outcome_of(outcome.outcome);
     event.revision = outcome.revision;
     bool const superseded = is_superseded(outcome.found, this->claimed_epoch);
     for (platform::kv_item const& item : outcome.found)
@@ -617,7 +653,7 @@
             event.found[job] = item.deleted ? 0 : item.revision;
         }
     }
-    if (!event.stored)
+    if (event.outcome != batch::save_outcome::stored)
     {
         this->shared.log_event(events::store_unavailable,
                                "what=save conflict superseded=" +
@@ -671,9 +707,9 @@
         return;
     }
     platform::kv_commit_result const& outcome = reply.assume_value();
-    event.stored = outcome.outcome == platform::kv_commit_status::committed;
+    event.outcome = save_outcome_of(outcome.outcome);
     event.revision = outcome.revision;
-    if (!event.stored)
+    if (event.outcome != batch::save_outcome::stored)
     {
         for (batch::roster_change const& each : call.changes)
         {
@@ -688,7 +724,7 @@
             event.found[worker] = item.deleted ? 0 : item.revision;
         }
     }
-    if (!event.stored)
+    if (event.outcome != batch::save_outcome::stored)
     {
         this->shared.log_event(events::store_unavailable,
                                "what=roster conflict");
--- a/libs/cell/src/placer.hpp
+++ b/libs/cell/src/placer.hpp
@@ -62,6 +62,9 @@
     void handle_records(std::vector<platform::kv_item> const& intake,
                         std::vector<platform::kv_item> const& progress,
                         std::vector<platform::kv_item> const& roster);
+    void log_records(std::vector<platform::kv_item> const& intake,
+                     std::vector<platform::kv_item> const& progress,
+                     std::vector<platform::kv_item> const& roster);
     void handle_roster(std::vector<platform::kv_item> const& roster);
     void watch_workers();
     void handle_workers(watched_prefix::items const& known,
--- a/libs/event_numbers/include/event_numbers/event_numbers.hpp
+++ b/libs/event_numbers/include/event_numbers/event_numbers.hpp
@@ -75,6 +75,11 @@
 constexpr int advice_failed = 614;
 constexpr int worker_entry_rejected = 615;
 constexpr int cell_load = 616;
+constexpr int run_ended = 617;
+constexpr int progress_saved = 618;
+constexpr int ends_acknowledged = 619;
+constexpr int roster_changed = 620;
+constexpr int records_read = 621;
 
 constexpr int malformed_link_message = 700;
 constexpr int malformed_answer = 701;
--- a/libs/events_log/src/catalogue.cpp
+++ b/libs/events_log/src/catalogue.cpp
@@ -66,6 +66,11 @@
         {events::advice_failed, warning, "advice failed"},
         {events::worker_entry_rejected, warning, "worker entry refused"},
         {events::cell_load, info, "cell load"},
+        {events::run_ended, info, "run ended"},
+        {events::progress_saved, info, "progress saved"},
+        {events::ends_acknowledged, info, "ends acknowledged"},
+        {events::roster_changed, info, "roster changed"},
+        {events::records_read, info, "records read"},
         {events::malformed_link_message, warning, "malformed link message"},
         {events::malformed_answer, warning, "malformed answer"},
     };
