Reproduce TWICE: a worker's unsaved ends leave the roster with it (red)

What callers saw: a task that had ended as done ran again on another worker. The checker of the model and the soak knew only half of the promise: it reported a start after an acknowledged success, not a start whose earlier success is acknowledged afterwards, which is how the second run looks here, because the end waits in the worker for the successor's list. It now reports both; an end whose worker's lease lapsed before the acknowledgement doesn't count, so the model's and the stand-in's workers note a lapse.

--- a/libs/batch/tests/placing_test.cpp
+++ b/libs/batch/tests/placing_test.cpp
@@ -42,6 +42,10 @@
             {
                 this->roster_call = std::get<save_roster>(each);
             }
+            if (std::holds_alternative<save_progress>(each))
+            {
+                this->progress_call = std::get<save_progress>(each);
+            }
             if (std::holds_alternative<start_task>(each))
             {
                 this->starts += 1;
@@ -70,6 +74,7 @@
     int starts = 0;
     start_task last;
     save_roster roster_call;
+    save_progress progress_call;
 };
 
 TEST_F(one_worker, counts_a_job_as_pending_until_a_start_is_confirmed)
@@ -150,6 +155,47 @@
     EXPECT_EQ(this->starts, 1);
 }
 
+struct unlisted_case
+{
+    char const* name;
+    save_outcome outcome; //!< of the save that holds the end
+    bool removed;         //!< from the roster
+};
+
+class unlisted_worker : public one_worker,
+                        public testing::WithParamInterface<unlisted_case>
+{
+};
+
+TEST_P(unlisted_worker, stays_in_the_roster_until_its_ends_are_stored)
+{
+    this->submit("a");
+    worker_report report;
+    report.finished.push_back(
+        {1, this->last.task, this->last.run, run_end::done, ""});
+    this->feed(poll_answered{"w1", this->token, this->now, report});
+    ASSERT_NE(this->progress_call.save, 0u);
+    progress_saved saved{this->progress_call.save, GetParam().outcome, 7, {}};
+    this->feed(worker_unlisted{"w1"});
+    this->roster_call = {};
+    this->feed(time_passed{});
+    EXPECT_TRUE(this->roster_call.changes.empty());
+    this->feed(saved);
+    this->feed(time_passed{});
+    EXPECT_EQ(this->roster_call.changes.size(), GetParam().removed ? 1u : 0u);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    outcomes,
+    unlisted_worker,
+    testing::Values(unlisted_case{"stored", save_outcome::stored, true},
+                    unlisted_case{"conflict", save_outcome::conflict, false},
+                    unlisted_case{"unknown", save_outcome::unknown, false}),
+    [](testing::TestParamInfo<unlisted_case> const& info)
+    {
+        return std::string(info.param.name);
+    });
+
 TEST_F(one_worker, gets_nothing_while_a_run_of_unknown_size_is_active)
 {
     worker_report report;
--- a/libs/batch/tests/worker_model.cpp
+++ b/libs/batch/tests/worker_model.cpp
@@ -33,6 +33,14 @@
     }
 }
 
+void worker_model::note_lapse(instant now)
+{
+    if (this->clock(now) > this->lease_until)
+    {
+        this->lapsed_ends = this->next_end - 1;
+    }
+}
+
 order_outcome worker_model::start(instant now,
                                   start_task const& order,
                                   task_step const& shape,
@@ -100,10 +108,11 @@
         return std::nullopt;
     }
     this->token = order.token;
+    this->note_lapse(now);
     this->extend(order.lease_until);
     for (finished_run const& end : this->ends)
     {
-        if (end.number <= order.acknowledged)
+        if (end.number <= order.acknowledged && end.number > this->lapsed_ends)
         {
             this->invariants.acknowledged(end.task, end.run);
         }
@@ -149,6 +158,7 @@
     this->ends.clear();
     this->refused_up_to.clear();
     this->next_end = 1;
+    this->lapsed_ends = 0;
     this->token = 0;
     this->lease_until = 0;
     this->offer.incarnation = incarnation;
@@ -156,6 +166,7 @@
 
 void worker_model::advance(instant now, milliseconds span)
 {
+    this->note_lapse(now);
     std::vector<std::pair<task_ref, run_end>> over;
     bool const lapsed = this->clock(now) > this->lease_until;
     for (auto& entry : this->runs)
--- a/libs/batch/tests/worker_model.hpp
+++ b/libs/batch/tests/worker_model.hpp
@@ -56,11 +56,13 @@
 
 private:
     void extend(std::optional<std::int64_t> until);
+    void note_lapse(instant now);
     resources used() const;
 
     checker& invariants;
     std::int64_t lease_until = 0;
     std::uint64_t next_end = 1;
+    std::uint64_t lapsed_ends = 0; //!< ends up to here precede a lapsed lease
     std::vector<finished_run> ends;
     std::map<task_ref, std::uint64_t> refused_up_to;
 };
--- a/libs/batch_checker/include/batch_checker/batch_checker.hpp
+++ b/libs/batch_checker/include/batch_checker/batch_checker.hpp
@@ -23,6 +23,7 @@
     instant started_at;
     bool ended = false;
     bool acknowledged = false;   //!< the placer has acknowledged its end
+    bool repeated = false;       //!< the task started again after its end
     run_end end = run_end::done; //!< valid if `ended`
 };
 
--- a/libs/batch_checker/src/batch_checker.cpp
+++ b/libs/batch_checker/src/batch_checker.cpp
@@ -119,8 +119,9 @@
                             task_name(task));
     }
     int failures = 0;
-    for (observed_run const& earlier_run : this->runs[task])
+    for (observed_run& earlier_run : this->runs[task])
     {
+        earlier_run.repeated = earlier_run.repeated || earlier_run.ended;
         if (!earlier_run.ended)
         {
             this->add_violation(
@@ -180,7 +181,17 @@
 {
     for (observed_run& each : this->runs[task])
     {
-        each.acknowledged = each.acknowledged || each.run == run;
+        if (each.run != run || each.acknowledged)
+        {
+            continue;
+        }
+        each.acknowledged = true;
+        if (each.repeated && each.end == run_end::done)
+        {
+            this->add_violation("task started again after a success that was "
+                                "acknowledged later: " +
+                                task_name(task));
+        }
     }
 }
 
