Keep a worker's roster record until the ends it reported are stored

Cause: the placer deleted the roster record of an unlisted worker once nothing ran there, although ends that it had read from the worker were not stored. The worker keeps an end until it is acknowledged, so a successor has to ask it; but the successor found it neither in the list nor in the roster, took all workers for answered and started the task again. Class: a record that says where unfinished state is was deleted before what replaces it was durable.

Ruled out for these: a stored end that was undone, since every placer in between read the end from the worker, not from the store; an acknowledgement for an unknown job, since each placer knew it.

Why it works: a worker with unsaved ends now has open runs, for the roster as for the polls, which shared the condition in two places before. The record goes once the last save is confirmed, and a successor that reads the roster after its claim finds the record or the stored end, since both are written under the epoch's condition.

--- a/libs/batch/src/roster.cpp
+++ b/libs/batch/src/roster.cpp
@@ -14,16 +14,10 @@
 constexpr std::size_t max_concurrent_roster_saves = 4;
 constexpr milliseconds roster_save_interval{25};
 
-/** Returns whether the next placer must wait for this worker. */
-bool may_run_tasks(scheduler const& s, worker_record const& w)
-{
-    return w.listed || !w.runs.empty() || (!w.synced && !s.settled);
-}
-
 std::optional<roster_change> change_of(scheduler const& s,
                                        worker_record const& w)
 {
-    if (may_run_tasks(s, w))
+    if (w.listed || has_open_runs(s, w))
     {
         return is_recorded(w)
                    ? std::nullopt
@@ -56,6 +50,12 @@
 
 } // namespace
 
+bool has_open_runs(scheduler const& s, worker_record const& w)
+{
+    return !w.runs.empty() || !w.unsaved_ends.empty() ||
+           (!w.synced && !s.settled);
+}
+
 bool is_recorded(worker_record const& w)
 {
     return w.recorded_address && *w.recorded_address == w.offer.where;
--- a/libs/batch/src/state.hpp
+++ b/libs/batch/src/state.hpp
@@ -265,8 +265,11 @@
 // ---- roster.cpp
 
 void record_worker(scheduler& s, worker_recorded const& given);
-/** Stores which workers may run tasks, so that a later placer waits for those
- * that are missing from the list. Called on time_passed. */
+/** Returns whether the worker has, or may have, a run that is active or whose
+ * end isn't stored: a successor must ask it, listed or not. */
+bool has_open_runs(scheduler const& s, worker_record const& w);
+/** Stores which workers are listed or have open runs, so that a later placer
+ * waits for those that are missing from the list. Called on time_passed. */
 void save_roster_changes(scheduler& s);
 void handle_roster_outcome(scheduler& s, roster_saved const& outcome);
 /** False until the worker's record is stored: a start before that could be
--- a/libs/batch/src/workers.cpp
+++ b/libs/batch/src/workers.cpp
@@ -473,8 +473,8 @@
 
 void poll_if_due(scheduler& s, worker_record& w)
 {
-    bool const may_run_tasks = !w.runs.empty() || (!w.synced && !s.settled);
-    if (w.poll_pending || w.next_poll > s.now || (!w.listed && !may_run_tasks))
+    if (w.poll_pending || w.next_poll > s.now ||
+        (!w.listed && !has_open_runs(s, w)))
     {
         return;
     }
