checker: a run that starts again on a restarted worker has an end of its own

The checker matched an end by run and worker, so the success of a run that a restarted worker took again also became the end of the lost one, and its acknowledgement counted as that of a run before the second start.

--- a/libs/batch_checker/src/batch_checker.cpp
+++ b/libs/batch_checker/src/batch_checker.cpp
@@ -169,7 +169,8 @@
 {
     for (observed_run& each : this->runs[task])
     {
-        if (each.run == run && each.worker == worker)
+        // A restarted worker may start the same run again.
+        if (each.run == run && each.worker == worker && !each.ended)
         {
             each.ended = true;
             each.end = end;
--- a/libs/batch_checker/tests/batch_checker_test.cpp
+++ b/libs/batch_checker/tests/batch_checker_test.cpp
@@ -50,6 +50,22 @@
     EXPECT_EQ(invariants.violations(), expected);
 }
 
+TEST(run_of_a_restarted_worker, that_succeeds_is_not_the_end_of_the_lost_one)
+{
+    checker invariants;
+    job sent;
+    sent.id = only_task.job;
+    sent.queue.max_attempts = 3;
+    sent.steps.push_back({.size = size});
+    invariants.submitted(sent);
+    invariants.started(instant{}, only_task, 1, "w1", size, size);
+    invariants.ended(only_task, 1, "w1", run_end::lapsed);
+    invariants.started(instant{}, only_task, 1, "w1", size, size);
+    invariants.ended(only_task, 1, "w1", run_end::done);
+    invariants.acknowledged(only_task, 1);
+    EXPECT_TRUE(invariants.violations().empty());
+}
+
 INSTANTIATE_TEST_SUITE_P(
     cases,
     second_run,
