Hold the reports of unknown jobs until the stored jobs have been read

What callers could see: a task ran twice, at the same time or after its acknowledged success, if its job was handed in through a daemon that still knew the former placer.

Cause: a new placer reads the stored jobs, then asks the workers. In between the former placer can still start a job that was stored after the read. The new one acknowledged the end of such a run at once, or ordered the run to stop, as if the job had ended under an earlier placer, and started the task when the store's watch told it the job. Class: absence from an old read taken as proof.

Why it works: a run or an end of an unknown job now waits for a read of the jobs that began after its report. A job is stored before it is started, so that read shows it or it has ended. When a job of an earlier epoch becomes known, what workers have reported of it is applied before it can be placed. A takeover costs one read of the jobs, or two, if workers report such runs.

--- a/libs/batch/include/batch/batch.hpp
+++ b/libs/batch/include/batch/batch.hpp
@@ -261,6 +261,13 @@
     std::int64_t progress_revision = 0;
 };
 
+/** The stored jobs have been read; those that weren't known came before as
+ * job_stored. */
+struct jobs_read
+{
+    std::uint64_t read = 0; //!< number of the read_jobs call
+};
+
 struct cancel_stored
 {
     std::string job;
@@ -360,6 +367,7 @@
                                 worker_recorded,
                                 worker_list_complete,
                                 job_stored,
+                                jobs_read,
                                 cancel_stored,
                                 poll_answered,
                                 poll_failed,
@@ -456,6 +464,13 @@
     std::vector<roster_change> changes;
 };
 
+/** Reads the stored jobs, because a worker reported a run whose job isn't known;
+ * repeated until it succeeds. */
+struct read_jobs
+{
+    std::uint64_t read = 0;
+};
+
 /** A log entry about a decision. */
 struct log_decision
 {
@@ -474,6 +489,7 @@
                             request_advice,
                             save_progress,
                             save_roster,
+                            read_jobs,
                             log_decision,
                             stop_placing>;
 
--- a/libs/batch/src/batch.cpp
+++ b/libs/batch/src/batch.cpp
@@ -19,6 +19,7 @@
         this->s.list_lag = given.list_lag;
         expire_leases(this->s);
         save_roster_changes(this->s);
+        read_unknown_jobs(this->s);
         // No event reports that a requester or an avoided worker is available
         // again, so passes also run periodically.
         if (this->s.now >= this->s.next_placement + idle_place_pause)
@@ -57,6 +58,11 @@
         handle_job(this->s, given);
     }
 
+    void operator()(jobs_read const& given) const
+    {
+        handle_jobs_read(this->s, given);
+    }
+
     void operator()(cancel_stored const& given) const
     {
         cancel_job(this->s, given.job);
--- a/libs/batch/src/jobs.cpp
+++ b/libs/batch/src/jobs.cpp
@@ -213,6 +213,10 @@
             events::job_accepted,
             "job=" + j.accepted.id + " queue=" + j.accepted.queue.name);
     }
+    if (j.adopted)
+    {
+        apply_earlier_reports(s, j.accepted.id);
+    }
     if (s.cancelled_early.erase(j.accepted.id) != 0)
     {
         cancel_job(s, j.accepted.id);
--- a/libs/batch/src/saving.cpp
+++ b/libs/batch/src/saving.cpp
@@ -3,6 +3,7 @@
 #include "event_numbers/event_numbers.hpp"
 
 #include <algorithm>
+#include <limits>
 
 namespace cicada::batch
 {
@@ -201,7 +202,11 @@
     }
     std::uint64_t const before = w.acknowledged;
     std::uint64_t const first = first_unstored(s);
-    while (!w.unsaved_ends.empty() && w.unsaved_ends.front().second < first)
+    std::uint64_t const first_unknown =
+        w.unknown_ends.empty() ? std::numeric_limits<std::uint64_t>::max()
+                               : w.unknown_ends.front().end.number;
+    while (!w.unsaved_ends.empty() && w.unsaved_ends.front().second < first &&
+           w.unsaved_ends.front().first < first_unknown)
     {
         w.acknowledged = w.unsaved_ends.front().first;
         w.unsaved_ends.pop_front();
--- a/libs/batch/src/state.hpp
+++ b/libs/batch/src/state.hpp
@@ -27,8 +27,12 @@
 {
     std::uint64_t run = 0;
     resources size;
-    /** The job isn't known: it ended under an earlier placer. */
+    /** The job isn't known: it ended under an earlier placer, or hasn't been
+     * read yet. */
     bool unknown_size = false;
+    /** Of a run of unknown size: the read_jobs call that shows whether its job
+     * has ended. */
+    std::uint64_t read = 0;
     run_phase phase = run_phase::starting;
     /** A start has no answer and may still be carried out late. */
     bool start_uncertain = false;
@@ -43,6 +47,13 @@
     std::string checkpoint;
 };
 
+/** The end of a run whose job isn't known. */
+struct unknown_end
+{
+    finished_run end;
+    std::uint64_t read = 0; //!< read_jobs call that shows whether it has ended
+};
+
 struct worker_record
 {
     worker_offer offer;
@@ -63,6 +74,8 @@
     std::uint64_t acknowledged = 0; //!< highest end number stored
     /** Pairs of end number and change number. */
     std::deque<std::pair<std::uint64_t, std::uint64_t>> unsaved_ends;
+    /** In the order of their numbers; not acknowledged. */
+    std::vector<unknown_end> unknown_ends;
     instant avoid_until;
     int consecutive_failures = 0; //!< of tasks on this worker
     resources used;
@@ -183,6 +196,8 @@
     std::map<std::uint64_t, std::vector<roster_change>> roster_saves;
     std::uint64_t last_roster_save = 0;
     instant next_roster_save;
+    std::uint64_t last_job_read = 0;
+    bool job_read_pending = false;
     bool placement_due = false;
     instant next_placement;
     instant next_full_pass; //!< next pass over steps of all ranks
@@ -225,9 +240,25 @@
 void expire_leases(scheduler& s);
 bool usable(scheduler const& s, worker_record const& w);
 std::int64_t lease_deadline(scheduler& s, worker_record& w);
+/** Adopts a run that an earlier placer or a late order has started. */
+void adopt_run(scheduler& s, worker_record& w, active_run const& seen);
+/** Applies the end of a run to its task; does nothing for an unknown job. */
+void apply_run_end(scheduler& s, worker_record& w, finished_run const& end);
 /** Removes the run and frees its capacity. */
 void release_run(scheduler& s, worker_record& w, task_ref const& task);
 
+// ---- unknown_jobs.cpp
+
+/** Keeps the end until the job is known, or known to have ended. */
+void keep_unknown_end(scheduler& s, worker_record& w, finished_run const& end);
+/** Returns the number of the read that will have started after now. */
+std::uint64_t next_job_read(scheduler const& s);
+/** Reads the stored jobs if a run or an end of an unknown job waits for it. */
+void read_unknown_jobs(scheduler& s);
+void handle_jobs_read(scheduler& s, jobs_read const& outcome);
+/** Applies what workers reported of the job before it was known. */
+void apply_earlier_reports(scheduler& s, std::string const& job);
+
 // ---- orders.cpp
 
 void start_run(scheduler& s,
--- a/libs/batch/src/workers.cpp
+++ b/libs/batch/src/workers.cpp
@@ -25,6 +25,7 @@
     w.processed = 0;
     w.acknowledged = 0;
     w.unsaved_ends.clear();
+    w.unknown_ends.clear();
     w.clock_ms = 0;
 }
 
@@ -61,51 +62,6 @@
            lease_margin;
 }
 
-/** Adopts a run that an earlier placer or a late order has started. */
-void adopt_run(scheduler& s, worker_record& w, active_run const& seen)
-{
-    task_record* const task = find_task(s, seen.task);
-    run_record record;
-    record.run = seen.run;
-    record.phase = run_phase::running;
-    record.started = s.now;
-    record.checkpoint = seen.checkpoint;
-    record.unknown_size = task == nullptr;
-    w.unknown_sizes += record.unknown_size ? 1 : 0;
-    bool wanted = false;
-    if (task != nullptr)
-    {
-        job_record& j = s.jobs.at(seen.task.job);
-        task_step const& step =
-            j.accepted.steps[static_cast<std::size_t>(seen.task.step)];
-        record.size = step.size;
-        record.expected_end = s.now + step.estimate;
-        step_record& of = j.steps[static_cast<std::size_t>(seen.task.step)];
-        bool const same_gang = !step.gang || of.gang_run == 0 ||
-                               of.gang_run == seen.run || of.placed == 0;
-        wanted = !has_ended(j.state) && task->phase == task_phase::waiting &&
-                 same_gang;
-        if (wanted)
-        {
-            task->phase = task_phase::placed;
-            task->worker = w.offer.id;
-            task->run = seen.run;
-            of.waiting -= 1;
-            of.placed += 1;
-            of.gang_run = seen.run;
-            j.has_started = true;
-        }
-    }
-    w.used = w.used + record.size;
-    w.runs[seen.task] = record;
-    // Whoever started it may have extended the lease until now.
-    w.lease_end = std::max(w.lease_end, s.now + longest_lease(s));
-    if (!wanted)
-    {
-        stop_run(s, w, seen.task);
-    }
-}
-
 void handle_active_run(scheduler& s, worker_record& w, active_run const& seen)
 {
     auto const found = w.runs.find(seen.task);
@@ -174,50 +130,19 @@
     {
         release_run(s, w, end.task);
     }
-    task_record* const task = find_task(s, end.task);
+    bool const known = find_task(s, end.task) != nullptr;
     log(s,
         events::run_ended,
         "job=" + end.task.job + " task=" + to_string(end.task) +
             " run=" + std::to_string(end.run) + " worker=" + w.offer.id +
             " end=" + std::to_string(end.number) + " how=" + name_of(end.how) +
-            " known=" + (task == nullptr ? "no" : "yes"));
-    if (task == nullptr)
-    {
-        return;
-    }
-    job_record& j = s.jobs.at(end.task.job);
-    j.has_started = true;
-    bool const gang =
-        j.accepted.steps[static_cast<std::size_t>(end.task.step)].gang;
-    if (end.how == run_end::done)
+            " known=" + (known ? "yes" : "no"));
+    if (!known)
     {
-        w.consecutive_failures = 0;
-        int const members = static_cast<int>(
-            j.steps[static_cast<std::size_t>(end.task.step)].tasks.size());
-        int const first = gang ? 0 : end.task.index;
-        int const last = gang ? members : end.task.index + 1;
-        for (int k = first; k < last; ++k)
-        {
-            stop_duplicate_run(s, {end.task.job, end.task.step, k}, end.run);
-            finish_task(s, {end.task.job, end.task.step, k});
-        }
+        keep_unknown_end(s, w, end);
         return;
     }
-    if (end.how == run_end::failed && task->phase != task_phase::done)
-    {
-        w.consecutive_failures =
-            std::min(w.consecutive_failures + 1, max_failures_counted);
-        if (w.consecutive_failures > 1)
-        {
-            w.avoid_until =
-                s.now + avoid_span_per_failure * w.consecutive_failures;
-        }
-        // A gang fails as a whole, so its failures count on its first member.
-        fail_task(s,
-                  {end.task.job, end.task.step, gang ? 0 : end.task.index},
-                  end.run);
-    }
-    requeue_task(s, end.task, end.run, end.checkpoint);
+    apply_run_end(s, w, end);
 }
 
 /** Drops runs that are missing from the report although it should list them. */
@@ -315,6 +240,93 @@
 
 } // namespace
 
+void adopt_run(scheduler& s, worker_record& w, active_run const& seen)
+{
+    task_record* const task = find_task(s, seen.task);
+    run_record record;
+    record.run = seen.run;
+    record.phase = run_phase::running;
+    record.started = s.now;
+    record.checkpoint = seen.checkpoint;
+    record.unknown_size = task == nullptr;
+    record.read = next_job_read(s);
+    w.unknown_sizes += record.unknown_size ? 1 : 0;
+    bool wanted = false;
+    if (task != nullptr)
+    {
+        job_record& j = s.jobs.at(seen.task.job);
+        task_step const& step =
+            j.accepted.steps[static_cast<std::size_t>(seen.task.step)];
+        record.size = step.size;
+        record.expected_end = s.now + step.estimate;
+        step_record& of = j.steps[static_cast<std::size_t>(seen.task.step)];
+        bool const same_gang = !step.gang || of.gang_run == 0 ||
+                               of.gang_run == seen.run || of.placed == 0;
+        wanted = !has_ended(j.state) && task->phase == task_phase::waiting &&
+                 same_gang;
+        if (wanted)
+        {
+            task->phase = task_phase::placed;
+            task->worker = w.offer.id;
+            task->run = seen.run;
+            of.waiting -= 1;
+            of.placed += 1;
+            of.gang_run = seen.run;
+            j.has_started = true;
+        }
+    }
+    w.used = w.used + record.size;
+    w.runs[seen.task] = record;
+    // Whoever started it may have extended the lease until now.
+    w.lease_end = std::max(w.lease_end, s.now + longest_lease(s));
+    if (!wanted && !record.unknown_size)
+    {
+        stop_run(s, w, seen.task);
+    }
+}
+
+void apply_run_end(scheduler& s, worker_record& w, finished_run const& end)
+{
+    task_record* const task = find_task(s, end.task);
+    if (task == nullptr)
+    {
+        return;
+    }
+    job_record& j = s.jobs.at(end.task.job);
+    j.has_started = true;
+    bool const gang =
+        j.accepted.steps[static_cast<std::size_t>(end.task.step)].gang;
+    if (end.how == run_end::done)
+    {
+        w.consecutive_failures = 0;
+        int const members = static_cast<int>(
+            j.steps[static_cast<std::size_t>(end.task.step)].tasks.size());
+        int const first = gang ? 0 : end.task.index;
+        int const last = gang ? members : end.task.index + 1;
+        for (int k = first; k < last; ++k)
+        {
+            stop_duplicate_run(s, {end.task.job, end.task.step, k}, end.run);
+            finish_task(s, {end.task.job, end.task.step, k});
+        }
+        return;
+    }
+    if (end.how == run_end::failed && task->phase != task_phase::done)
+    {
+        w.consecutive_failures =
+            std::min(w.consecutive_failures + 1, max_failures_counted);
+        if (w.consecutive_failures > 1)
+        {
+            w.avoid_until =
+                s.now + avoid_span_per_failure * w.consecutive_failures;
+        }
+        // A gang fails as a whole, so its failures count on its first member.
+        fail_task(s,
+                  {end.task.job, end.task.step, gang ? 0 : end.task.index},
+                  end.run);
+    }
+    requeue_task(s, end.task, end.run, end.checkpoint);
+}
+
 void release_run(scheduler& s, worker_record& w, task_ref const& task)
 {
     auto const found = w.runs.find(task);
--- a/libs/batch/tests/advice_load_test.cpp
+++ b/libs/batch/tests/advice_load_test.cpp
@@ -269,6 +269,7 @@
                  });
     }
 
+    void carry_out(read_jobs const&) {} // every job is known
     void carry_out(log_decision const&) {}
     void carry_out(stop_placing const&) {}
 
--- a/libs/batch/tests/cell_model.cpp
+++ b/libs/batch/tests/cell_model.cpp
@@ -1,6 +1,7 @@
 #include "cell_model.hpp"
 
 #include <algorithm>
+#include <limits>
 
 namespace cicada::batch::model
 {
@@ -263,11 +264,28 @@
 
 void cell_model::submit_job()
 {
-    job const made = this->make_random_job();
+    job made = this->make_random_job();
+    bool const stale = this->chance(this->settings.injected.stale_entries) &&
+                       this->placers.size() > 1;
+    made.epoch -= stale ? 1 : 0;
     this->revision += 1;
     this->jobs[made.id] = {made, this->revision};
     this->invariants.submitted(made);
-    this->deliver_job(made.id, this->revision);
+    if (stale)
+    {
+        std::size_t const newest = this->placers.size() - 1;
+        this->deliver_job_to(
+            0, newest, this->latency(), made.id, this->revision);
+        this->deliver_job_to(newest,
+                             newest + 1,
+                             milliseconds{this->random() % 1500},
+                             made.id,
+                             this->revision);
+    }
+    else
+    {
+        this->deliver_job(made.id, this->revision);
+    }
     if (this->chance(this->settings.injected.duplicates))
     {
         std::uint64_t const written = this->revision;
@@ -300,21 +318,31 @@
 /** Delivers the job as a message and then again as a change of the store. */
 void cell_model::deliver_job(std::string const& id, std::uint64_t written)
 {
-    job const made = this->jobs.at(id).first;
     for (milliseconds delay : {this->latency(), milliseconds{1000}})
     {
-        this->at(delay,
-                 [this, made, written]
+        this->deliver_job_to(
+            0, std::numeric_limits<std::size_t>::max(), delay, id, written);
+    }
+}
+
+void cell_model::deliver_job_to(std::size_t first,
+                                std::size_t last,
+                                milliseconds delay,
+                                std::string const& id,
+                                std::uint64_t written)
+{
+    this->at(delay,
+             [this, first, last, written, made = this->jobs.at(id).first]
+             {
+                 std::size_t const end = std::min(last, this->placers.size());
+                 for (std::size_t p = first; p < end; ++p)
                  {
-                     for (std::size_t p = 0; p < this->placers.size(); ++p)
+                     if (written > this->placers[p].start_revision)
                      {
-                         if (written > this->placers[p].start_revision)
-                         {
-                             this->feed(p, job_stored{made, std::nullopt});
-                         }
+                         this->feed(p, job_stored{made, std::nullopt});
                      }
-                 });
-    }
+                 }
+             });
 }
 
 void cell_model::start_placer()
@@ -333,9 +361,30 @@
     }
     scheduler_settings rules;
     rules.epoch = this->epoch;
-    this->placers.push_back(
-        {make_scheduler(rules, this->now), this->epoch, this->revision, true});
+    this->placers.push_back({make_scheduler(rules, this->now),
+                             this->epoch,
+                             this->revision,
+                             true,
+                             false,
+                             {}});
     std::size_t const p = this->placers.size() - 1;
+    milliseconds const longest = this->settings.injected.read_span;
+    if (longest.count() == 0)
+    {
+        this->load_placer(p, this->read_records());
+        return;
+    }
+    this->at(
+        milliseconds{this->random() % static_cast<unsigned>(longest.count())},
+        [this, p, records = this->read_records()]
+        {
+            this->load_placer(p, records);
+        });
+}
+
+std::vector<event_body> cell_model::read_records() const
+{
+    std::vector<event_body> out;
     for (auto const& entry : this->jobs)
     {
         job_stored event{entry.second.first, std::nullopt};
@@ -346,24 +395,40 @@
             event.progress_revision =
                 static_cast<std::int64_t>(stored->second.second);
         }
-        this->feed(p, event);
+        out.emplace_back(event);
     }
     for (std::string const& id : this->cancels)
     {
         if (this->jobs.count(id) != 0)
         {
-            this->feed(p, cancel_stored{id});
+            out.emplace_back(cancel_stored{id});
         }
     }
     for (auto const& entry : this->roster)
     {
-        this->feed(
-            p,
+        out.emplace_back(
             worker_recorded{entry.first,
                             entry.second.first,
                             static_cast<std::int64_t>(entry.second.second)});
     }
+    return out;
+}
+
+void cell_model::load_placer(std::size_t p,
+                             std::vector<event_body> const& records)
+{
+    this->placers[p].loaded = true;
+    for (event_body const& each : records)
+    {
+        this->feed(p, each);
+    }
     this->feed(p, advice_requesters_changed{{"a", "b", "c"}});
+    std::vector<event_body> const early =
+        std::move(this->placers[p].early_events);
+    for (event_body const& each : early)
+    {
+        this->feed(p, each);
+    }
     for (std::unique_ptr<worker_model> const& w : this->workers)
     {
         if (w->listed)
@@ -380,6 +445,16 @@
     {
         return;
     }
+    if (!this->placers[p].loaded)
+    {
+        bool const kept = std::holds_alternative<job_stored>(body) ||
+                          std::holds_alternative<cancel_stored>(body);
+        if (kept)
+        {
+            this->placers[p].early_events.push_back(std::move(body));
+        }
+        return;
+    }
     std::vector<effect> const effects =
         step(*this->placers[p].state, {this->now, std::move(body)});
     for (effect const& each : effects)
@@ -450,6 +525,10 @@
             {
                 this->deliver_roster(p, each);
             }
+            else if constexpr (std::is_same_v<kind, read_jobs>)
+            {
+                this->deliver_job_read(p, each);
+            }
         },
         what);
 }
@@ -742,6 +821,20 @@
              });
 }
 
+void cell_model::deliver_job_read(std::size_t p, read_jobs const& call)
+{
+    this->at(
+        this->latency(),
+        [this, p, call]
+        {
+            for (auto const& entry : this->jobs)
+            {
+                this->feed(p, job_stored{entry.second.first, std::nullopt});
+            }
+            this->feed(p, jobs_read{call.read});
+        });
+}
+
 void cell_model::deliver_save(std::size_t p, save_progress const& call)
 {
     progress_saved unanswered;
--- a/libs/batch/tests/cell_model.hpp
+++ b/libs/batch/tests/cell_model.hpp
@@ -31,7 +31,12 @@
     double cancels = 0.02;      //!< of jobs
     double duplicates = 0.0;    //!< of jobs: sent to the placer again later
     double list_gaps = 0.0;     //!< per second: a live worker's entry is absent
-    milliseconds stop_span{0};  //!< that a stopped run goes on for, at most
+    /** Of jobs: handed in by a daemon that knows only the former placer, which
+     * starts it before the new one has read it. */
+    double stale_entries = 0.0;
+    milliseconds stop_span{0}; //!< that a stopped run goes on for, at most
+    /** From a new placer's read of the store to its first call, at most. */
+    milliseconds read_span{0};
 
     bool operator==(faults const&) const = default;
 };
@@ -64,6 +69,8 @@
         std::uint64_t start_revision =
             0; //!< the store's revision when the placer started
         bool alive = true;
+        bool loaded = false; //!< has received the records of the store
+        std::vector<event_body> early_events; //!< received before
     };
 
     void at(milliseconds delay, std::function<void()> what);
@@ -74,13 +81,23 @@
     void submit_job();
     job make_random_job();
     void deliver_job(std::string const& id, std::uint64_t revision);
+    /** Delivers the job to the placers from `first` to before `last`. */
+    void deliver_job_to(std::size_t first,
+                        std::size_t last,
+                        milliseconds delay,
+                        std::string const& id,
+                        std::uint64_t revision);
     void start_placer();
+    std::vector<event_body> read_records() const;
+    void load_placer(std::size_t placer,
+                     std::vector<event_body> const& records);
     void feed(std::size_t placer, event_body body);
     void deliver(std::size_t placer, effect const& what);
     void deliver_poll(std::size_t placer, poll_worker const& poll);
     void deliver_start(std::size_t placer, start_task const& order);
     void deliver_stop(std::size_t placer, stop_task const& order);
     void deliver_advice(std::size_t placer, request_advice const& call);
+    void deliver_job_read(std::size_t placer, read_jobs const& call);
     void deliver_save(std::size_t placer, save_progress const& call);
     progress_saved store_progress(std::size_t placer,
                                   save_progress const& call);
--- a/libs/cell/src/placer.cpp
+++ b/libs/cell/src/placer.cpp
@@ -736,6 +736,39 @@
     }
 }
 
+void placer::execute(batch::read_jobs const& effect)
+{
+    this->shared.store.range(
+        keys::jobs,
+        [self = this->shared_from_this(),
+         effect](result<platform::kv_page> const& page)
+        {
+            if (self->stopped)
+            {
+                return;
+            }
+            if (!page.has_value())
+            {
+                self->shared.after(failure_pause,
+                                   [self, effect]
+                                   {
+                                       self->execute(effect);
+                                   });
+                return;
+            }
+            for (platform::kv_item const& item : page.assume_value().items)
+            {
+                std::string const job =
+                    keys::strip_prefix(item.key, keys::jobs);
+                if (!batch::state_of(*self->scheduler, job))
+                {
+                    self->add_job(item.value);
+                }
+            }
+            self->step_scheduler(batch::jobs_read{effect.read});
+        });
+}
+
 void placer::execute(batch::log_decision const& effect)
 {
     this->shared.log_event(effect.number, effect.detail);
