--- /dev/null
+++ b/libs/batch/src/runs.cpp
@@ -0,0 +1,142 @@
+#include "state.hpp"
+
+#include <algorithm>
+
+namespace cicada::batch
+{
+
+namespace
+{
+
+/** Added for each consecutive failure of a task on the worker. */
+constexpr milliseconds avoid_span_per_failure{1000};
+constexpr int max_failures_counted = 5;
+
+/**
+ * Stops the run that replaced a dropped one: the run was dropped when its
+ * worker's lease expired, but a later report shows that it succeeded.
+ */
+void stop_duplicate_run(scheduler& s, task_ref const& task, std::uint64_t run)
+{
+    task_record const* const record = find_task(s, task);
+    if (record->phase != task_phase::placed || record->run == run)
+    {
+        return;
+    }
+    auto const w = s.workers.find(record->worker);
+    if (w != s.workers.end())
+    {
+        stop_run(s, w->second, task);
+    }
+}
+
+} // namespace
+
+milliseconds longest_lease(scheduler const& s)
+{
+    return milliseconds(static_cast<std::int64_t>(
+               static_cast<double>(s.settings.lease.count()) *
+               clock_drift_factor)) +
+           lease_margin;
+}
+
+void adopt_run(scheduler& s, worker_record& w, active_run const& seen)
+{
+    task_record* const task = find_task(s, seen.task);
+    run_record record;
+    record.run = seen.run;
+    record.phase = run_phase::running;
+    record.started = s.now;
+    record.checkpoint = seen.checkpoint;
+    record.unknown_size = task == nullptr;
+    record.read = next_job_read(s);
+    w.unknown_sizes += record.unknown_size ? 1 : 0;
+    bool wanted = false;
+    if (task != nullptr)
+    {
+        job_record& j = s.jobs.at(seen.task.job);
+        task_step const& step =
+            j.accepted.steps[static_cast<std::size_t>(seen.task.step)];
+        record.size = step.size;
+        record.expected_end = s.now + step.estimate;
+        step_record& of = j.steps[static_cast<std::size_t>(seen.task.step)];
+        bool const same_gang = !step.gang || of.gang_run == 0 ||
+                               of.gang_run == seen.run || of.placed == 0;
+        wanted = !has_ended(j.state) && task->phase == task_phase::waiting &&
+                 same_gang;
+        if (wanted)
+        {
+            task->phase = task_phase::placed;
+            task->worker = w.offer.id;
+            task->run = seen.run;
+            of.waiting -= 1;
+            of.placed += 1;
+            of.gang_run = seen.run;
+            j.has_started = true;
+        }
+    }
+    w.used = w.used + record.size;
+    w.runs[seen.task] = record;
+    // Whoever started it may have extended the lease until now.
+    w.lease_end = std::max(w.lease_end, s.now + longest_lease(s));
+    if (!wanted && !record.unknown_size)
+    {
+        stop_run(s, w, seen.task);
+    }
+}
+
+void apply_run_end(scheduler& s, worker_record& w, finished_run const& end)
+{
+    task_record* const task = find_task(s, end.task);
+    if (task == nullptr)
+    {
+        return;
+    }
+    job_record& j = s.jobs.at(end.task.job);
+    j.has_started = true;
+    bool const gang =
+        j.accepted.steps[static_cast<std::size_t>(end.task.step)].gang;
+    if (end.how == run_end::done)
+    {
+        w.consecutive_failures = 0;
+        int const members = static_cast<int>(
+            j.steps[static_cast<std::size_t>(end.task.step)].tasks.size());
+        int const first = gang ? 0 : end.task.index;
+        int const last = gang ? members : end.task.index + 1;
+        for (int k = first; k < last; ++k)
+        {
+            stop_duplicate_run(s, {end.task.job, end.task.step, k}, end.run);
+            finish_task(s, {end.task.job, end.task.step, k});
+        }
+        return;
+    }
+    if (end.how == run_end::failed && task->phase != task_phase::done)
+    {
+        w.consecutive_failures =
+            std::min(w.consecutive_failures + 1, max_failures_counted);
+        if (w.consecutive_failures > 1)
+        {
+            w.avoid_until =
+                s.now + avoid_span_per_failure * w.consecutive_failures;
+        }
+        // A gang fails as a whole, so its failures count on its first member.
+        fail_task(s,
+                  {end.task.job, end.task.step, gang ? 0 : end.task.index},
+                  end.run);
+    }
+    requeue_task(s, end.task, end.run, end.checkpoint);
+}
+
+void release_run(scheduler& s, worker_record& w, task_ref const& task)
+{
+    auto const found = w.runs.find(task);
+    if (found != w.runs.end())
+    {
+        w.used = w.used - found->second.size;
+        w.unknown_sizes -= found->second.unknown_size ? 1 : 0;
+        w.runs.erase(found);
+        s.placement_due = true;
+    }
+}
+
+} // namespace cicada::batch
--- a/libs/batch/src/state.hpp
+++ b/libs/batch/src/state.hpp
@@ -240,12 +240,17 @@
 void expire_leases(scheduler& s);
 bool usable(scheduler const& s, worker_record const& w);
 std::int64_t lease_deadline(scheduler& s, worker_record& w);
+
+// ---- runs.cpp
+
 /** Adopts a run that an earlier placer or a late order has started. */
 void adopt_run(scheduler& s, worker_record& w, active_run const& seen);
-/** Applies the end of a run to its task; does nothing for an unknown job. */
+/** Applies the end of a run to its task, which must be known. */
 void apply_run_end(scheduler& s, worker_record& w, finished_run const& end);
 /** Removes the run and frees its capacity. */
 void release_run(scheduler& s, worker_record& w, task_ref const& task);
+/** Returns how long a lease given now may last by this daemon's clock. */
+milliseconds longest_lease(scheduler const& s);
 
 // ---- unknown_jobs.cpp
 
