--- a/libs/batch/tests/unknown_jobs_test.cpp
+++ b/libs/batch/tests/unknown_jobs_test.cpp
@@ -180,6 +180,18 @@
     EXPECT_EQ(this->acknowledged(), 1u);
 }
 
+TEST_F(successor, ignores_an_end_outside_the_steps_of_a_late_job)
+{
+    worker_report report;
+    report.finished.push_back({1, {"a", 3, 7}, 9, run_end::done, ""});
+    report.finished.push_back({2, {"a", 0, 7}, 9, run_end::failed, ""});
+    this->answer("w1", report);
+    this->answer("w2", {});
+    this->tell_job();
+    this->feed(time_passed{});
+    EXPECT_EQ(this->starts, 1);
+}
+
 TEST_F(successor, stops_a_run_whose_job_has_ended)
 {
     this->sync_workers(std::nullopt);
