Count a worker as answered only when all its ends were read

What callers could see: a task that had ended as done ran again after a takeover, if its worker held more ends than one report lists (500), as after a long outage of the store.

Cause: the first answer to the new token counted as the worker's whole answer, also if it was truncated, so the placer was ready before it had read the ends.

Why it works: until its list is whole a worker isn't synced: it gets no tasks, its lease isn't extended, and tasks of jobs from before the takeover wait for it or for the longest lease.

--- a/libs/batch/src/state.hpp
+++ b/libs/batch/src/state.hpp
@@ -59,7 +59,8 @@
     worker_offer offer;
     std::uint32_t number = 0; //!< assigned in the order of first listing
     bool listed = true;
-    bool synced = false; //!< this incarnation has answered the token
+    /** This incarnation has answered the token and all its ends were read. */
+    bool synced = false;
     std::int64_t incarnation = 0;
     std::uint64_t incarnations = 0; //!< number seen by this placer
     std::uint64_t token = 0;
--- a/libs/batch/src/workers.cpp
+++ b/libs/batch/src/workers.cpp
@@ -303,7 +303,10 @@
     }
     w.clock_ms = answer.report.clock_ms;
     w.clock_read_at = s.now;
-    bool const newly_synced = answer.token == w.token && !w.synced;
+    // Ends that a truncated report leaves out may be of runs that this placer
+    // would start again.
+    bool const newly_synced =
+        answer.token == w.token && !w.synced && !answer.report.more_finished;
     if (newly_synced)
     {
         w.synced = true;
--- a/libs/batch/tests/cell_model.cpp
+++ b/libs/batch/tests/cell_model.cpp
@@ -33,6 +33,7 @@
         offer.incarnation = this->next_incarnation++;
         this->workers.push_back(
             std::make_unique<worker_model>(offer, this->invariants));
+        this->workers.back()->ends_per_report = given.injected.ends_per_report;
     }
     this->faults_until = this->now + given.load;
 }
--- a/libs/batch/tests/cell_model.hpp
+++ b/libs/batch/tests/cell_model.hpp
@@ -35,6 +35,7 @@
      * starts it before the new one has read it. */
     double stale_entries = 0.0;
     milliseconds stop_span{0}; //!< that a stopped run goes on for, at most
+    std::size_t ends_per_report = 500; //!< the rest waits for acknowledgements
     /** From a new placer's read of the store to its first call, at most. */
     milliseconds read_span{0};
 
--- a/libs/batch/tests/model_test.cpp
+++ b/libs/batch/tests/model_test.cpp
@@ -73,6 +73,9 @@
                    {.takeovers = 0.7,
                     .stale_entries = 0.7,
                     .read_span = milliseconds{400}}},
+        fault_case{
+            "truncated_reports",
+            {.takeovers = 0.7, .store_outages = 0.1, .ends_per_report = 3}},
         fault_case{"all",
                    {.lost_answer = 0.03,
                     .late_order = 0.03,
--- a/libs/batch/tests/worker_model.cpp
+++ b/libs/batch/tests/worker_model.cpp
@@ -132,7 +132,12 @@
     {
         report.active.push_back({entry.first, entry.second.run, ""});
     }
-    report.finished = this->ends;
+    std::size_t const listed =
+        std::min(this->ends.size(), this->ends_per_report);
+    report.finished.assign(this->ends.begin(),
+                           this->ends.begin() +
+                               static_cast<std::ptrdiff_t>(listed));
+    report.more_finished = listed < this->ends.size();
     return report;
 }
 
--- a/libs/batch/tests/worker_model.hpp
+++ b/libs/batch/tests/worker_model.hpp
@@ -53,6 +53,7 @@
     std::int64_t clock(instant now) const;
     bool partitioned = false; //!< unreachable, but still running
     bool listed = true;       //!< in the list of workers
+    std::size_t ends_per_report = 500;
 
 private:
     void extend(std::optional<std::int64_t> until);
