--- a/libs/batch_checker/tests/batch_checker_test.cpp
+++ b/libs/batch_checker/tests/batch_checker_test.cpp
@@ -10,6 +10,19 @@
 task_ref const only_task{"a", 0, 0};
 resources const size{1000, 100, 0};
 
+/** A checker of a job of one task, whose first run has started on w1. */
+checker checker_of_first_run()
+{
+    checker out;
+    job sent;
+    sent.id = only_task.job;
+    sent.queue.max_attempts = 3;
+    sent.steps.push_back({.size = size});
+    out.submitted(sent);
+    out.started(instant{}, only_task, 1, "w1", size, size);
+    return out;
+}
+
 struct restart_case
 {
     char const* name;
@@ -25,13 +38,7 @@
 
 TEST_P(second_run, is_a_violation_if_the_first_success_is_ever_acknowledged)
 {
-    checker invariants;
-    job sent;
-    sent.id = only_task.job;
-    sent.queue.max_attempts = 3;
-    sent.steps.push_back({.size = size});
-    invariants.submitted(sent);
-    invariants.started(instant{}, only_task, 1, "w1", size, size);
+    checker invariants = checker_of_first_run();
     invariants.ended(only_task, 1, "w1", GetParam().first_end);
     if (GetParam().acknowledged_before)
     {
@@ -52,13 +59,7 @@
 
 TEST(run_of_a_restarted_worker, that_succeeds_is_not_the_end_of_the_lost_one)
 {
-    checker invariants;
-    job sent;
-    sent.id = only_task.job;
-    sent.queue.max_attempts = 3;
-    sent.steps.push_back({.size = size});
-    invariants.submitted(sent);
-    invariants.started(instant{}, only_task, 1, "w1", size, size);
+    checker invariants = checker_of_first_run();
     invariants.ended(only_task, 1, "w1", run_end::lapsed);
     invariants.started(instant{}, only_task, 1, "w1", size, size);
     invariants.ended(only_task, 1, "w1", run_end::done);
