Keep polling an unlisted worker until all its ends are read

one_worker.stays_in_the_roster_until_all_its_ends_are_read failed before. A worker whose last report was truncated now has open runs.

--- a/libs/batch/src/roster.cpp
+++ b/libs/batch/src/roster.cpp
@@ -52,7 +52,7 @@
 
 bool has_open_runs(scheduler const& s, worker_record const& w)
 {
-    return !w.runs.empty() || !w.unsaved_ends.empty() ||
+    return !w.runs.empty() || !w.unsaved_ends.empty() || w.truncated ||
            (!w.synced && !s.settled);
 }
 
--- a/libs/batch/src/state.hpp
+++ b/libs/batch/src/state.hpp
@@ -65,6 +65,7 @@
     std::uint64_t incarnations = 0; //!< number seen by this placer
     std::uint64_t token = 0;
     bool poll_pending = false;
+    bool truncated = false; //!< its last report left out ends
     /** The last poll failed; the lease isn't extended. */
     bool unresponsive = false;
     instant next_poll;
--- a/libs/batch/src/workers.cpp
+++ b/libs/batch/src/workers.cpp
@@ -23,6 +23,7 @@
     w.acknowledged = 0;
     w.unsaved_ends.clear();
     w.unknown_ends.clear();
+    w.truncated = false;
     w.clock_ms = 0;
 }
 
@@ -303,6 +304,7 @@
     }
     w.clock_ms = answer.report.clock_ms;
     w.clock_read_at = s.now;
+    w.truncated = answer.report.more_finished;
     // Ends that a truncated report leaves out may be of runs that this placer
     // would start again.
     bool const newly_synced =
--- a/libs/batch/tests/placing_test.cpp
+++ b/libs/batch/tests/placing_test.cpp
@@ -196,6 +196,21 @@
         return std::string(info.param.name);
     });
 
+TEST_F(one_worker, stays_in_the_roster_until_all_its_ends_are_read)
+{
+    worker_report report;
+    report.more_finished = true;
+    this->feed(poll_answered{"w1", this->token, this->now, report});
+    this->feed(worker_unlisted{"w1"});
+    this->roster_call = {};
+    this->feed(time_passed{});
+    EXPECT_TRUE(this->roster_call.changes.empty());
+    report.more_finished = false;
+    this->feed(poll_answered{"w1", this->token, this->now, report});
+    this->feed(time_passed{});
+    EXPECT_EQ(this->roster_call.changes.size(), 1u);
+}
+
 TEST_F(one_worker, gets_nothing_while_a_run_of_unknown_size_is_active)
 {
     worker_report report;
