Gather reports of unknown jobs between two reads of the jobs

Found in review: the read of the jobs began again on the next tick for as long as workers reported ends of unknown jobs, and once more for the end of each run that the read before had shown to be of an ended job.

successor.gathers_reports_between_two_reads (11 reads in 0.3 s) and successor.does_not_read_again_for_the_end_of_a_run_it_stopped failed before. Reads begin at most every 100 ms, and the end of a run whose job is known to have ended needs none.

--- a/libs/batch/src/state.hpp
+++ b/libs/batch/src/state.hpp
@@ -200,6 +200,7 @@
     instant next_roster_save;
     std::uint64_t last_job_read = 0;
     bool job_read_pending = false;
+    instant next_job_read;
     bool placement_due = false;
     instant next_placement;
     instant next_full_pass; //!< next pass over steps of all ranks
@@ -256,6 +257,9 @@
 
 // ---- unknown_jobs.cpp
 
+/** Returns whether a read that began after the run was reported has shown that
+ * its job has ended. */
+bool job_has_ended(scheduler const& s, run_record const& run);
 /** Keeps the end until the job is known, or known to have ended. */
 void keep_unknown_end(scheduler& s, worker_record& w, finished_run const& end);
 /** Returns the number of the read that will have started after now. */
--- a/libs/batch/src/unknown_jobs.cpp
+++ b/libs/batch/src/unknown_jobs.cpp
@@ -8,6 +8,8 @@
 namespace
 {
 
+constexpr milliseconds job_read_interval{100}; //!< lets reports gather
+
 bool waits_for_read(worker_record const& w)
 {
     return !w.unknown_ends.empty() ||
@@ -62,6 +64,13 @@
     return s.last_job_read + 1;
 }
 
+bool job_has_ended(scheduler const& s, run_record const& run)
+{
+    std::uint64_t const completed =
+        s.last_job_read - (s.job_read_pending ? 1 : 0);
+    return run.unknown_size && run.read <= completed;
+}
+
 void keep_unknown_end(scheduler& s, worker_record& w, finished_run const& end)
 {
     w.unknown_ends.push_back({end, next_job_read(s)});
@@ -70,6 +79,7 @@
 void read_unknown_jobs(scheduler& s)
 {
     bool const due = !s.stopped && !s.job_read_pending &&
+                     s.now >= s.next_job_read &&
                      std::any_of(s.workers.begin(),
                                  s.workers.end(),
                                  [](auto const& entry)
@@ -79,6 +89,7 @@
     if (due)
     {
         s.job_read_pending = true;
+        s.next_job_read = s.now + job_read_interval;
         s.last_job_read += 1;
         s.effects.emplace_back(read_jobs{s.last_job_read});
     }
--- a/libs/batch/src/workers.cpp
+++ b/libs/batch/src/workers.cpp
@@ -97,6 +97,7 @@
 {
     auto const found = w.runs.find(end.task);
     bool const held = found != w.runs.end() && found->second.run == end.run;
+    bool const job_ended = held && job_has_ended(s, found->second);
     if (held)
     {
         release_run(s, w, end.task);
@@ -110,7 +111,10 @@
             " known=" + (known ? "yes" : "no"));
     if (!known)
     {
-        keep_unknown_end(s, w, end);
+        if (!job_ended)
+        {
+            keep_unknown_end(s, w, end);
+        }
         return;
     }
     apply_run_end(s, w, end);
--- a/libs/batch/tests/cell_model.cpp
+++ b/libs/batch/tests/cell_model.cpp
@@ -824,16 +824,32 @@
 
 void cell_model::deliver_job_read(std::size_t p, read_jobs const& call)
 {
-    this->at(
-        this->latency(),
-        [this, p, call]
-        {
-            for (auto const& entry : this->jobs)
-            {
-                this->feed(p, job_stored{entry.second.first, std::nullopt});
-            }
-            this->feed(p, jobs_read{call.read});
-        });
+    this->job_reads += 1;
+    this->at(this->latency(),
+             [this, p, call]
+             {
+                 if (this->now < this->store_up_at ||
+                     this->chance(this->settings.injected.store_unknown))
+                 {
+                     this->at(answer_timeout,
+                              [this, p, call]
+                              {
+                                  this->deliver_job_read(p, call);
+                              });
+                     return;
+                 }
+                 this->at(this->latency(),
+                          [this, p, call, stored = this->jobs]
+                          {
+                              for (auto const& entry : stored)
+                              {
+                                  this->feed(p,
+                                             job_stored{entry.second.first,
+                                                        std::nullopt});
+                              }
+                              this->feed(p, jobs_read{call.read});
+                          });
+             });
 }
 
 void cell_model::deliver_save(std::size_t p, save_progress const& call)
--- a/libs/batch/tests/cell_model.hpp
+++ b/libs/batch/tests/cell_model.hpp
@@ -61,6 +61,7 @@
 
     checker invariants;
     int jobs_done = 0;
+    int job_reads = 0; //!< attempts
 
 private:
     struct placer
--- a/libs/batch/tests/unknown_jobs_test.cpp
+++ b/libs/batch/tests/unknown_jobs_test.cpp
@@ -200,5 +200,34 @@
     EXPECT_EQ(this->stops, 1);
 }
 
+TEST_F(successor, does_not_read_again_for_the_end_of_a_run_it_stopped)
+{
+    this->sync_workers(std::nullopt);
+    this->feed(jobs_read{this->last_read});
+    worker_report report;
+    report.finished.push_back(
+        {1, only_task, earlier_run, run_end::stopped, ""});
+    this->now += milliseconds{1000};
+    this->answer("w1", report);
+    this->feed(time_passed{});
+    EXPECT_EQ(this->last_read, 1u);
+    EXPECT_EQ(this->acknowledged(), 1u);
+}
+
+TEST_F(successor, gathers_reports_between_two_reads)
+{
+    this->sync_workers(run_end::done);
+    for (std::uint64_t number = 2; number < 12; ++number)
+    {
+        worker_report report;
+        report.finished.push_back(
+            {number, {"b", 0, 0}, 4098, run_end::done, ""});
+        this->answer("w1", report);
+        this->feed(jobs_read{this->last_read});
+        this->feed(time_passed{});
+    }
+    EXPECT_LE(this->last_read, 5u);
+}
+
 } // namespace
 } // namespace cicada::batch
