--- a/libs/batch/include/batch/batch.hpp
+++ b/libs/batch/include/batch/batch.hpp
@@ -464,7 +464,7 @@
     std::vector<roster_change> changes;
 };
 
-/** Reads the stored jobs, because a worker reported a run whose job isn't known;
+/** Reads the stored jobs, because a worker reported a run of an unknown job;
  * repeated until it succeeds. */
 struct read_jobs
 {
