--- a/libs/batch/src/state.hpp
+++ b/libs/batch/src/state.hpp
@@ -65,6 +65,7 @@
     std::uint64_t incarnations = 0; //!< number seen by this placer
     std::uint64_t token = 0;
     bool poll_pending = false;
+    bool truncated = false; //!< its last report left out ends
     /** The last poll failed; the lease isn't extended. */
     bool unresponsive = false;
     instant next_poll;
@@ -199,6 +200,7 @@
     instant next_roster_save;
     std::uint64_t last_job_read = 0;
     bool job_read_pending = false;
+    instant next_job_read;
     bool placement_due = false;
     instant next_placement;
     instant next_full_pass; //!< next pass over steps of all ranks
@@ -255,6 +257,9 @@
 
 // ---- unknown_jobs.cpp
 
+/** Returns whether a read that began after the run was reported has shown that
+ * its job has ended. */
+bool job_has_ended(scheduler const& s, run_record const& run);
 /** Keeps the end until the job is known, or known to have ended. */
 void keep_unknown_end(scheduler& s, worker_record& w, finished_run const& end);
 /** Returns the number of the read that will have started after now. */
--- a/libs/batch/src/workers.cpp
+++ b/libs/batch/src/workers.cpp
@@ -23,6 +23,7 @@
     w.acknowledged = 0;
     w.unsaved_ends.clear();
     w.unknown_ends.clear();
+    w.truncated = false;
     w.clock_ms = 0;
 }
 
@@ -96,6 +97,7 @@
 {
     auto const found = w.runs.find(end.task);
     bool const held = found != w.runs.end() && found->second.run == end.run;
+    bool const job_ended = held && job_has_ended(s, found->second);
     if (held)
     {
         release_run(s, w, end.task);
@@ -109,7 +111,10 @@
             " known=" + (known ? "yes" : "no"));
     if (!known)
     {
-        keep_unknown_end(s, w, end);
+        if (!job_ended)
+        {
+            keep_unknown_end(s, w, end);
+        }
         return;
     }
     apply_run_end(s, w, end);
@@ -303,6 +308,7 @@
     }
     w.clock_ms = answer.report.clock_ms;
     w.clock_read_at = s.now;
+    w.truncated = answer.report.more_finished;
     // Ends that a truncated report leaves out may be of runs that this placer
     // would start again.
     bool const newly_synced =
