Log which call to the store failed, and how old the watched items are

The logs couldn't tell a watch that hangs from one that waits for a connection: store down and store up (500, 501) had no detail.

They name the call now, when it was sent and when the store last answered. A failed watch or read of a prefix has a line of its own (504) with the age of the items. The client's errors say whether the connection was reused and how long the call had waited for it. Configuration in force (114) says how long the version before hadn't been confirmed; three metrics follow.

--- a/libs/cell/src/caller_api.cpp
+++ b/libs/cell/src/caller_api.cpp
@@ -191,9 +191,12 @@
     this->shared.store.commit(
         change,
         [self = this->shared_from_this(),
-         kept](result<platform::kv_commit_result> const& reply)
+         kept,
+         call = store_call{"what=jobs", this->shared.now()}](
+            result<platform::kv_commit_result> const& reply)
         {
             self->commits_in_progress -= 1;
+            self->shared.record_store_call(call, reply);
             self->handle_commit_reply(std::move(*kept), reply);
             self->commit_batch();
         });
@@ -203,7 +206,6 @@
     std::vector<submission> sent,
     result<platform::kv_commit_result> const& reply)
 {
-    this->shared.record_store_call(reply.has_value());
     if (!reply.has_value())
     {
         for (submission& each : sent)
--- a/libs/cell/src/caller_api_records.cpp
+++ b/libs/cell/src/caller_api_records.cpp
@@ -199,10 +199,14 @@
     change.writes.push_back({keys::cancels + job, "1", 0});
     this->shared.store.commit(
         change,
-        [self = this->shared_from_this(), job, answer, deadline](
+        [self = this->shared_from_this(),
+         job,
+         answer,
+         deadline,
+         call = store_call{"what=cancel job=" + job, this->shared.now()}](
             result<platform::kv_commit_result> const& reply)
         {
-            self->shared.record_store_call(reply.has_value());
+            self->shared.record_store_call(call, reply);
             if (!reply.has_value())
             {
                 self->handle_cancel_failure(
--- a/libs/cell/src/cell_membership.cpp
+++ b/libs/cell/src/cell_membership.cpp
@@ -42,9 +42,10 @@
 {
     this->shared.store.grant(
         this->members.settings.lease,
-        [this](result<std::int64_t> const& lease)
+        [this, call = store_call{"what=grant", this->shared.now()}](
+            result<std::int64_t> const& lease)
         {
-            this->shared.record_store_call(lease.has_value());
+            this->shared.record_store_call(call, lease);
             if (!lease.has_value())
             {
                 this->step_membership(membership::call_failed{});
@@ -63,9 +64,12 @@
 {
     this->shared.store.renew(
         effect.lease,
-        [this, lease = effect.lease](result<bool> const& alive)
+        [this,
+         lease = effect.lease,
+         call = store_call{"what=renewal", this->shared.now()}](
+            result<bool> const& alive)
         {
-            this->shared.record_store_call(alive.has_value());
+            this->shared.record_store_call(call, alive);
             if (!alive.has_value())
             {
                 this->step_membership(membership::call_failed{});
--- a/libs/cell/src/cell_operations.cpp
+++ b/libs/cell/src/cell_operations.cpp
@@ -44,13 +44,19 @@
     {
         return;
     }
+    std::string const version_before =
+        this->shared.config ? std::to_string(this->shared.config->version)
+                            : "none";
     this->shared.config = config;
     this->caller_server.set_bounds(config.header_bytes, config.body_bytes);
     this->shared.log_event(
         events::configuration_applied,
         "version=" + std::to_string(config.version) +
             " queues=" + std::to_string(config.queues.size()) +
-            " revision=" + std::to_string(item->second.revision));
+            " revision=" + std::to_string(item->second.revision) +
+            " before=" + version_before + " confirmed_ms_ago=" +
+            age_text(this->config_watch->answered_before(),
+                     this->shared.now()));
 }
 
 void cell_daemon::impl::answer_probe(http_responder const& answer) const
@@ -83,6 +89,12 @@
         this->shared.config
             ? static_cast<std::uint64_t>(this->shared.config->version)
             : 0);
+    add("configuration_age_ms",
+        static_cast<std::uint64_t>(
+            (this->shared.now() - this->config_watch->answered_at()).count()));
+    add("store_failing", this->shared.store_failing() ? 1 : 0);
+    add("store_watch_failures_total",
+        this->config_watch->failures() + this->cell_watch->failures());
     if (this->active_placer)
     {
         batch::load_report const load = this->active_placer->load();
--- a/libs/cell/src/context.hpp
+++ b/libs/cell/src/context.hpp
@@ -15,6 +15,25 @@
 namespace cicada::cell
 {
 
+/** Milliseconds since `then`, or "never" if it is unset. */
+inline std::string age_text(instant then, instant now)
+{
+    return then == instant{} ? "never" : std::to_string((now - then).count());
+}
+
+/** A call to the store, for the log; `what` is a list of KEY=VALUE. */
+struct store_call
+{
+    std::string what;
+    instant sent_at;
+};
+
+/** An error's code and message, for the log. */
+inline std::string describe(error const& problem)
+{
+    return std::string(to_string(problem.code)) + ": " + problem.message;
+}
+
 /** State shared by a daemon's components; used on the loop's thread only. */
 struct context
 {
@@ -54,17 +73,28 @@
     }
 
     /** Records the outcome of a call to the store; logs a change. */
-    void record_store_call(bool answered)
+    template <class T>
+    void record_store_call(store_call const& call, result<T> const& reply)
     {
         bool const before = this->store_failing();
-        (answered ? this->store_answered_at : this->store_failed_at) =
-            this->now();
-        if (before != this->store_failing())
+        instant const answered_before = this->store_answered_at;
+        instant const at = this->now();
+        (reply.has_value() ? this->store_answered_at : this->store_failed_at) =
+            at;
+        if (before == this->store_failing())
         {
-            this->log_event(answered ? events::store_available
-                                     : events::store_unavailable,
-                            "");
+            return;
         }
+        std::string detail =
+            call.what + " sent_ms_ago=" + age_text(call.sent_at, at) +
+            " answered_ms_ago=" + age_text(answered_before, at);
+        if (!reply.has_value())
+        {
+            detail += " why=\"" + describe(reply.assume_error()) + "\"";
+        }
+        this->log_event(reply.has_value() ? events::store_available
+                                          : events::store_unavailable,
+                        detail);
     }
 
     /** The detail is a list of KEY=VALUE. */
@@ -90,10 +120,4 @@
     }
 };
 
-/** An error's code and message, for the log. */
-inline std::string describe(error const& problem)
-{
-    return std::string(to_string(problem.code)) + ": " + problem.message;
-}
-
 } // namespace cicada::cell
--- a/libs/cell/src/watched_prefix.cpp
+++ b/libs/cell/src/watched_prefix.cpp
@@ -7,6 +7,8 @@
 {
 
 constexpr milliseconds failure_pause{200};
+/** A call that failed sooner is logged only if the one before it succeeded. */
+constexpr milliseconds hung_call{1000};
 
 } // namespace
 
@@ -43,11 +45,51 @@
     return this->last_answer;
 }
 
+instant watched_prefix::answered_before() const
+{
+    return this->previous_answer;
+}
+
+std::uint64_t watched_prefix::failures() const
+{
+    return this->failed_calls;
+}
+
 std::int64_t watched_prefix::known_revision() const
 {
     return this->revision;
 }
 
+/** Names the call that kept the items from being refreshed, and their age. */
+template <class T>
+void watched_prefix::record_call(store_call const& call, result<T> const& reply)
+{
+    this->shared.record_store_call(call, reply);
+    instant const at = this->shared.now();
+    if (reply.has_value())
+    {
+        this->failing = false;
+        return;
+    }
+    this->failed_calls += 1;
+    if (!this->failing || at - call.sent_at >= hung_call)
+    {
+        this->shared.log_event(
+            events::store_watch_failed,
+            call.what + " sent_ms_ago=" + age_text(call.sent_at, at) +
+                " answered_ms_ago=" + age_text(this->last_answer, at) +
+                " revision=" + std::to_string(this->revision) + " why=\"" +
+                describe(reply.assume_error()) + "\"");
+    }
+    this->failing = true;
+}
+
+void watched_prefix::confirm_items()
+{
+    this->previous_answer = this->last_answer;
+    this->last_answer = this->shared.now();
+}
+
 void watched_prefix::read_all()
 {
     if (this->stopped)
@@ -56,13 +98,15 @@
     }
     this->shared.store.range(
         this->prefix,
-        [self = this->shared_from_this()](result<platform::kv_page> page)
+        [self = this->shared_from_this(),
+         call = store_call{"what=read prefix=" + this->prefix,
+                           this->shared.now()}](result<platform::kv_page> page)
         {
             if (self->stopped)
             {
                 return;
             }
-            self->shared.record_store_call(page.has_value());
+            self->record_call(call, page);
             if (!page.has_value())
             {
                 self->shared.after(failure_pause,
@@ -78,7 +122,7 @@
 
 void watched_prefix::handle_page(platform::kv_page page)
 {
-    this->last_answer = this->shared.now();
+    this->confirm_items();
     items next;
     std::vector<std::string> keys;
     for (platform::kv_item& item : page.items)
@@ -119,13 +163,16 @@
         this->prefix,
         this->revision,
         this->wait,
-        [self = this->shared_from_this()](result<platform::kv_changes> reply)
+        [self = this->shared_from_this(),
+         call =
+             store_call{"what=watch prefix=" + this->prefix,
+                        this->shared.now()}](result<platform::kv_changes> reply)
         {
             if (self->stopped)
             {
                 return;
             }
-            self->shared.record_store_call(reply.has_value());
+            self->record_call(call, reply);
             if (!reply.has_value())
             {
                 self->shared.after(failure_pause,
@@ -146,7 +193,7 @@
 
 void watched_prefix::handle_changes(platform::kv_changes changes)
 {
-    this->last_answer = this->shared.now();
+    this->confirm_items();
     std::vector<std::string> keys;
     for (platform::kv_item& item : changes.events)
     {
--- a/libs/cell/src/watched_prefix.hpp
+++ b/libs/cell/src/watched_prefix.hpp
@@ -41,6 +41,12 @@
     /** Time of the last successful read or watch. */
     instant answered_at() const;
 
+    /** Time of the successful read or watch before it. */
+    instant answered_before() const;
+
+    /** Reads and watches that failed. */
+    std::uint64_t failures() const;
+
     /** The store's revision that the known items correspond to. */
     std::int64_t known_revision() const;
 
@@ -49,6 +55,9 @@
     void handle_page(platform::kv_page page);
     void watch();
     void handle_changes(platform::kv_changes changes);
+    void confirm_items();
+    template <class T>
+    void record_call(store_call const& call, result<T> const& reply);
 
     context& shared;
     std::string prefix;
@@ -58,6 +67,9 @@
         on_change;
     items current;
     instant last_answer;
+    instant previous_answer;
+    std::uint64_t failed_calls = 0;
+    bool failing = false; //!< the last call failed
     std::int64_t revision = 0;
     bool first_read = true;
     bool stopped = false;
--- a/libs/event_numbers/include/event_numbers/event_numbers.hpp
+++ b/libs/event_numbers/include/event_numbers/event_numbers.hpp
@@ -57,6 +57,7 @@
 constexpr int store_available = 501;
 constexpr int intent_write_unknown = 502;
 constexpr int store_budget_exhausted = 503;
+constexpr int store_watch_failed = 504;
 
 constexpr int job_accepted = 600;
 constexpr int job_finished = 601;
--- a/libs/events_log/src/catalogue.cpp
+++ b/libs/events_log/src/catalogue.cpp
@@ -47,6 +47,7 @@
         {events::store_available, info, "store up"},
         {events::intent_write_unknown, warning, "intent write unknown"},
         {events::store_budget_exhausted, warning, "store budget spent"},
+        {events::store_watch_failed, warning, "store watch failed"},
         {events::job_accepted, info, "job accepted"},
         {events::job_finished, info, "job finished"},
         {events::job_lost, warning, "job lost"},
--- a/libs/http/src/client.cpp
+++ b/libs/http/src/client.cpp
@@ -29,6 +29,7 @@
 struct pending_call
 {
     http_request request;
+    clock::time_point called_at;
     clock::time_point deadline;
     http_callback callback;
 };
@@ -83,14 +84,14 @@
     void connect(pending_call call)
     {
         this->current = std::move(call);
+        this->started_at = clock::now();
         failure problem;
         asio::ip::tcp::endpoint const to(
             asio::ip::make_address(this->owner->where.host, problem),
             this->owner->where.port);
         if (problem)
         {
-            this->finish(error{error_code::unavailable, problem.message()},
-                         false);
+            this->fail(error_code::unavailable, problem);
             return;
         }
         this->stream.expires_at(
@@ -102,9 +103,7 @@
             {
                 if (failed)
                 {
-                    self->finish(
-                        error{error_code::unavailable, failed.message()},
-                        false);
+                    self->fail(error_code::unavailable, failed);
                     return;
                 }
                 self->set_socket_options();
@@ -115,6 +114,8 @@
     void reuse(pending_call call)
     {
         this->current = std::move(call);
+        this->started_at = clock::now();
+        this->reused = true;
         this->send();
     }
 
@@ -153,42 +154,40 @@
         this->message.body() = std::move(this->current->request.body);
         this->message.prepare_payload();
         this->stream.expires_at(this->current->deadline);
-        bhttp::async_write(
-            this->stream,
-            this->message,
-            [self = this->shared_from_this()](failure const& failed,
-                                              std::size_t sent)
-            {
-                if (failed)
-                {
-                    error_code const code = sent == 0 ? error_code::unavailable
-                                                      : error_code::unknown;
-                    self->finish(error{code, failed.message()}, false);
-                    return;
-                }
-                self->receive();
-            });
+        bhttp::async_write(this->stream,
+                           this->message,
+                           [self = this->shared_from_this()](
+                               failure const& failed, std::size_t sent)
+                           {
+                               if (failed)
+                               {
+                                   error_code const code =
+                                       sent == 0 ? error_code::unavailable
+                                                 : error_code::unknown;
+                                   self->fail(code, failed);
+                                   return;
+                               }
+                               self->receive();
+                           });
     }
 
     void receive()
     {
         this->parser.emplace();
         this->parser->body_limit(this->owner->settings.response_body_bytes);
-        bhttp::async_read(
-            this->stream,
-            this->buffer,
-            *this->parser,
-            [self = this->shared_from_this()](failure const& failed,
-                                              std::size_t)
-            {
-                if (failed)
-                {
-                    self->finish(error{error_code::unknown, failed.message()},
-                                 false);
-                    return;
-                }
-                self->handle_response();
-            });
+        bhttp::async_read(this->stream,
+                          this->buffer,
+                          *this->parser,
+                          [self = this->shared_from_this()](
+                              failure const& failed, std::size_t)
+                          {
+                              if (failed)
+                              {
+                                  self->fail(error_code::unknown, failed);
+                                  return;
+                              }
+                              self->handle_response();
+                          });
     }
 
     void handle_response()
@@ -201,6 +200,18 @@
         this->finish(std::move(reply), keep);
     }
 
+    void fail(error_code code, failure const& problem)
+    {
+        milliseconds const queued = std::chrono::duration_cast<milliseconds>(
+            this->started_at - this->current->called_at);
+        this->finish(error{code,
+                           problem.message() + ", on a " +
+                               (this->reused ? "reused" : "new") +
+                               " connection, queued_ms=" +
+                               std::to_string(queued.count())},
+                     false);
+    }
+
     void finish(result<http_reply> outcome, bool keep)
     {
         http_callback const callback = std::move(this->current->callback);
@@ -235,6 +246,8 @@
     beast::tcp_stream stream;
     beast::flat_buffer buffer;
     std::optional<pending_call> current;
+    clock::time_point started_at; //!< when `current` got this connection
+    bool reused = false;          //!< an earlier call succeeded
     bhttp::request<bhttp::string_body> message;
     std::optional<bhttp::response_parser<bhttp::string_body>> parser;
 };
@@ -324,8 +337,10 @@
                        milliseconds timeout,
                        http_callback callback)
 {
-    this->self->waiting.push_back(
-        {std::move(request), clock::now() + timeout, std::move(callback)});
+    this->self->waiting.push_back({std::move(request),
+                                   clock::now(),
+                                   clock::now() + timeout,
+                                   std::move(callback)});
     this->self->start_waiting_calls();
 }
 
