Decide on watches of the store in a library of its own

They are store_watch now, a state machine without network or clock. The values and the order of the calls stay: wait 3 s, given up after 4 s, repeated after 0.2 s; the list of workers 1 s and 2 s.

--- a/libs/cell/src/cell.cpp
+++ b/libs/cell/src/cell.cpp
@@ -151,8 +151,7 @@
     this->cell_watch = std::make_shared<watched_prefix>(
         this->shared,
         keys::cell,
-        milliseconds{0},
-        watch_wait,
+        store_watch::watch_settings{},
         [this](watched_prefix::items const& items,
                std::vector<std::string> const&)
         {
@@ -161,8 +160,7 @@
     this->config_watch = std::make_shared<watched_prefix>(
         this->shared,
         keys::config,
-        milliseconds{0},
-        watch_wait,
+        store_watch::watch_settings{},
         [this](watched_prefix::items const& items,
                std::vector<std::string> const&)
         {
--- a/libs/cell/src/placer.cpp
+++ b/libs/cell/src/placer.cpp
@@ -16,6 +16,7 @@
 constexpr milliseconds intake_pause{1000};     //!< daemons also notify directly
 constexpr milliseconds worker_list_pause{100}; //!< 48 workers write every 1.5 s
 constexpr milliseconds worker_list_wait{1000}; //!< scheduling needs the list
+constexpr milliseconds worker_list_timeout{2000};
 constexpr milliseconds failure_pause{100};
 constexpr milliseconds order_timeout{500};  //!< an answer usually takes 10 ms
 constexpr milliseconds poll_margin{700};    //!< beyond a poll's wait
@@ -24,6 +25,22 @@
 constexpr std::size_t order_connections = 4; //!< a worker has about 64 in all
 constexpr milliseconds max_lease{6000};
 
+store_watch::watch_settings intake_watch_settings()
+{
+    store_watch::watch_settings out;
+    out.pause = intake_pause;
+    return out;
+}
+
+store_watch::watch_settings worker_list_watch_settings()
+{
+    store_watch::watch_settings out;
+    out.wait = worker_list_wait;
+    out.timeout = worker_list_timeout;
+    out.pause = worker_list_pause;
+    return out;
+}
+
 /** Saves carry no lease, so a missing one tells nothing about them. */
 batch::save_outcome save_outcome_of(platform::kv_commit_status status)
 {
@@ -276,8 +293,7 @@
     this->intake = std::make_shared<watched_prefix>(
         this->shared,
         keys::intake,
-        intake_pause,
-        watch_wait,
+        intake_watch_settings(),
         [self](watched_prefix::items const& items,
                std::vector<std::string> const& changed)
         {
@@ -392,8 +408,7 @@
     this->workers = std::make_shared<watched_prefix>(
         this->shared,
         keys::workers,
-        worker_list_pause,
-        worker_list_wait,
+        worker_list_watch_settings(),
         [self](watched_prefix::items const& items,
                std::vector<std::string> const& changed)
         {
--- a/libs/cell/src/watched_prefix.cpp
+++ b/libs/cell/src/watched_prefix.cpp
@@ -6,7 +6,6 @@
 namespace
 {
 
-constexpr milliseconds failure_pause{200};
 /** A call that failed sooner is logged only if the one before it succeeded. */
 constexpr milliseconds hung_call{1000};
 
@@ -15,24 +14,22 @@
 watched_prefix::watched_prefix(
     context& daemon_context,
     std::string watched,
-    milliseconds watch_pause,
-    milliseconds watch_limit,
+    store_watch::watch_settings const& settings,
     std::function<void(items const&, std::vector<std::string> const&)> callback)
-    : shared(daemon_context), prefix(std::move(watched)), pause(watch_pause),
-      wait(watch_limit), on_change(std::move(callback))
+    : shared(daemon_context), prefix(std::move(watched)),
+      watch(store_watch::make_watch(settings)), on_change(std::move(callback))
 {
 }
 
 void watched_prefix::start()
 {
-    this->read_all();
+    this->step(store_watch::watch_started{});
 }
 
-void watched_prefix::start_from(std::int64_t at)
+void watched_prefix::start_from(std::int64_t revision)
 {
-    this->revision = at;
     this->first_read = false;
-    this->watch();
+    this->step(store_watch::watch_started{revision});
 }
 
 void watched_prefix::stop()
@@ -57,7 +54,26 @@
 
 std::int64_t watched_prefix::known_revision() const
 {
-    return this->revision;
+    return this->watch.revision;
+}
+
+void watched_prefix::step(store_watch::event_body body)
+{
+    if (this->stopped)
+    {
+        return;
+    }
+    std::vector<store_watch::effect> const effects =
+        store_watch::step(this->watch, {this->shared.now(), std::move(body)});
+    for (store_watch::effect const& each : effects)
+    {
+        std::visit(
+            [this](auto const& effect)
+            {
+                this->execute(effect);
+            },
+            each);
+    }
 }
 
 /** Names the call that kept the items from being refreshed, and their age. */
@@ -78,8 +94,8 @@
             events::store_watch_failed,
             call.what + " sent_ms_ago=" + age_text(call.sent_at, at) +
                 " answered_ms_ago=" + age_text(this->last_answer, at) +
-                " revision=" + std::to_string(this->revision) + " why=\"" +
-                describe(reply.assume_error()) + "\"");
+                " revision=" + std::to_string(this->watch.revision) +
+                " why=\"" + describe(reply.assume_error()) + "\"");
     }
     this->failing = true;
 }
@@ -90,37 +106,32 @@
     this->last_answer = this->shared.now();
 }
 
-void watched_prefix::read_all()
+void watched_prefix::execute(store_watch::read_items const& effect)
 {
-    if (this->stopped)
-    {
-        return;
-    }
     this->shared.store.range(
         this->prefix,
         [self = this->shared_from_this(),
+         number = effect.call,
          call = store_call{"what=read prefix=" + this->prefix,
                            this->shared.now()}](result<platform::kv_page> page)
         {
-            if (self->stopped)
+            if (self->stopped || !store_watch::is_awaited(self->watch, number))
             {
                 return;
             }
             self->record_call(call, page);
             if (!page.has_value())
             {
-                self->shared.after(failure_pause,
-                                   [self]
-                                   {
-                                       self->read_all();
-                                   });
+                self->step(store_watch::call_failed{number});
                 return;
             }
-            self->handle_page(std::move(page.assume_value()));
+            std::int64_t const revision = page.assume_value().at_revision;
+            self->replace_items(std::move(page.assume_value()));
+            self->step(store_watch::items_read{number, revision});
         });
 }
 
-void watched_prefix::handle_page(platform::kv_page page)
+void watched_prefix::replace_items(platform::kv_page page)
 {
     this->confirm_items();
     items next;
@@ -144,60 +155,54 @@
         }
     }
     this->current = std::move(next);
-    this->revision = page.at_revision;
     if (this->first_read || !keys.empty())
     {
         this->first_read = false;
         this->on_change(this->current, keys);
     }
-    this->watch();
 }
 
-void watched_prefix::watch()
+void watched_prefix::execute(store_watch::watch_items const& effect)
 {
-    if (this->stopped)
-    {
-        return;
-    }
     this->shared.store.watch(
         this->prefix,
-        this->revision,
-        this->wait,
+        effect.after,
+        effect.wait,
+        effect.timeout,
         [self = this->shared_from_this(),
+         number = effect.call,
          call =
              store_call{"what=watch prefix=" + this->prefix,
                         this->shared.now()}](result<platform::kv_changes> reply)
         {
-            if (self->stopped)
+            if (self->stopped || !store_watch::is_awaited(self->watch, number))
             {
                 return;
             }
             self->record_call(call, reply);
             if (!reply.has_value())
             {
-                self->shared.after(failure_pause,
-                                   [self]
-                                   {
-                                       self->watch();
-                                   });
+                self->step(store_watch::call_failed{number});
                 return;
             }
-            if (reply.assume_value().history_lost)
+            std::int64_t const revision = reply.assume_value().at_revision;
+            bool const history_lost = reply.assume_value().history_lost;
+            if (!history_lost)
             {
-                self->read_all();
-                return;
+                self->apply_changes(std::move(reply.assume_value()));
             }
-            self->handle_changes(std::move(reply.assume_value()));
+            self->step(
+                store_watch::changes_read{number, revision, history_lost});
         });
 }
 
-void watched_prefix::handle_changes(platform::kv_changes changes)
+void watched_prefix::apply_changes(platform::kv_changes changes)
 {
     this->confirm_items();
     std::vector<std::string> keys;
     for (platform::kv_item& item : changes.events)
     {
-        if (item.revision <= this->revision)
+        if (item.revision <= this->watch.revision)
         {
             continue;
         }
@@ -212,21 +217,19 @@
             this->current[key] = std::move(item);
         }
     }
-    this->revision = std::max(this->revision, changes.at_revision);
     if (!keys.empty())
     {
         this->on_change(this->current, keys);
     }
-    if (this->pause.count() > 0)
-    {
-        this->shared.after(this->pause,
-                           [self = this->shared_from_this()]
-                           {
-                               self->watch();
-                           });
-        return;
-    }
-    this->watch();
+}
+
+void watched_prefix::execute(store_watch::set_timer const& effect)
+{
+    this->shared.after(effect.delay,
+                       [self = this->shared_from_this()]
+                       {
+                           self->step(store_watch::timer_fired{});
+                       });
 }
 
 } // namespace cicada::cell
--- a/libs/cell/src/watched_prefix.hpp
+++ b/libs/cell/src/watched_prefix.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "context.hpp"
+#include "store_watch/store_watch.hpp"
 
 #include <map>
 #include <memory>
@@ -8,26 +9,21 @@
 namespace cicada::cell
 {
 
-/** Wait of one watch; a hung connection is noticed a second after it. */
-constexpr milliseconds watch_wait{3000};
-
 /**
- * A current copy of all items under a prefix of the store: one full read, then
- * watches; if the store has dropped the history, a full read again.
+ * A copy of all items under a prefix of the store, kept current by the calls
+ * that store_watch decides on.
  */
 class watched_prefix : public std::enable_shared_from_this<watched_prefix>
 {
 public:
     using items = std::map<std::string, platform::kv_item>;
 
-    /** `pause` is the time between two watches, in which changes accumulate,
-     * `wait` that of one watch. `on_change` gets all items and the changed
-     * keys; a deleted key isn't among the items. */
+    /** `on_change` gets all items and the changed keys; a deleted key isn't
+     * among the items. */
     watched_prefix(
         context& shared,
         std::string prefix,
-        milliseconds pause,
-        milliseconds wait,
+        store_watch::watch_settings const& settings,
         std::function<void(items const&, std::vector<std::string> const&)>
             on_change);
 
@@ -51,18 +47,19 @@
     std::int64_t known_revision() const;
 
 private:
-    void read_all();
-    void handle_page(platform::kv_page page);
-    void watch();
-    void handle_changes(platform::kv_changes changes);
+    void step(store_watch::event_body body);
+    void execute(store_watch::read_items const& effect);
+    void execute(store_watch::watch_items const& effect);
+    void execute(store_watch::set_timer const& effect);
+    void replace_items(platform::kv_page page);
+    void apply_changes(platform::kv_changes changes);
     void confirm_items();
     template <class T>
     void record_call(store_call const& call, result<T> const& reply);
 
     context& shared;
     std::string prefix;
-    milliseconds pause;
-    milliseconds wait;
+    store_watch::watch_state watch;
     std::function<void(items const&, std::vector<std::string> const&)>
         on_change;
     items current;
@@ -70,7 +67,6 @@
     instant previous_answer;
     std::uint64_t failed_calls = 0;
     bool failing = false; //!< the last call failed
-    std::int64_t revision = 0;
     bool first_read = true;
     bool stopped = false;
 };
