--- a/libs/store_watch/tests/store_watch_test.cpp
+++ b/libs/store_watch/tests/store_watch_test.cpp
@@ -2,13 +2,182 @@
 
 #include <gtest/gtest.h>
 
+#include <map>
+#include <random>
+
 namespace cicada::store_watch
 {
 namespace
 {
 
+constexpr milliseconds round_trip{10};
+
+/** A store with one changing item, and a watch of it on a simulated clock. In a
+ * silence, the store answers neither earlier nor new calls. */
+class watched_store
+{
+public:
+    explicit watched_store(watch_settings const& settings)
+        : state(make_watch(settings))
+    {
+    }
+
+    void be_silent(instant from, instant to)
+    {
+        this->silent_from = from;
+        this->silent_to = to;
+    }
+
+    void change_at(instant at)
+    {
+        this->changed_at = at;
+    }
+
+    /** When the copy has the change; none if it hasn't by `end`. */
+    std::optional<instant> run_until(instant end)
+    {
+        this->step(watch_started{});
+        while (!this->events.empty() && this->events.begin()->first <= end)
+        {
+            auto const first = this->events.begin();
+            this->now = first->first;
+            event_body const body = first->second;
+            this->events.erase(first);
+            this->step(body);
+            if (this->state.revision == changed_revision)
+            {
+                return this->now;
+            }
+        }
+        return std::nullopt;
+    }
+
+private:
+    static constexpr std::int64_t first_revision = 1;
+    static constexpr std::int64_t changed_revision = 2;
+
+    /** A call is lost if the store falls or is silent until its answer. */
+    bool is_lost(instant sent, instant answered) const
+    {
+        return sent < this->silent_to && answered >= this->silent_from;
+    }
+
+    std::int64_t revision_at(instant when) const
+    {
+        return when >= this->changed_at ? changed_revision : first_revision;
+    }
+
+    void step(event_body const& body)
+    {
+        for (effect const& each :
+             store_watch::step(this->state, {this->now, body}))
+        {
+            std::visit(
+                [this](auto const& what)
+                {
+                    this->execute(what);
+                },
+                each);
+        }
+    }
+
+    void answer(instant at, milliseconds timeout, event_body const& reply)
+    {
+        bool const lost =
+            this->is_lost(this->now, at) || at > this->now + timeout;
+        if (lost)
+        {
+            this->events.emplace(this->now + timeout,
+                                 call_failed{this->state.call});
+            return;
+        }
+        this->events.emplace(at, reply);
+    }
+
+    void execute(read_items const& effect)
+    {
+        constexpr milliseconds read_timeout{1500};
+        instant const at = this->now + round_trip;
+        this->answer(
+            at, read_timeout, items_read{effect.call, this->revision_at(at)});
+    }
+
+    void execute(watch_items const& effect)
+    {
+        instant const change = std::max(this->changed_at, this->now);
+        bool const changes = effect.after < changed_revision &&
+                             change <= this->now + effect.wait;
+        instant const at =
+            (changes ? change : this->now + effect.wait) + round_trip;
+        this->answer(at,
+                     effect.timeout,
+                     changes_read{effect.call, this->revision_at(at)});
+    }
+
+    void execute(set_timer const& effect)
+    {
+        this->events.emplace(this->now + effect.delay, timer_fired{});
+    }
+
+    watch_state state;
+    instant now{milliseconds{1'000'000}};
+    instant silent_from;
+    instant silent_to;
+    instant changed_at;
+    std::multimap<instant, event_body> events;
+};
+
 constexpr instant start{milliseconds{1'000'000}};
 
+struct silence_case
+{
+    char const* name;
+    milliseconds shortest;
+    milliseconds longest;
+};
+
+class silent_store : public testing::TestWithParam<silence_case>
+{
+};
+
+TEST_P(silent_store, does_not_hide_a_change_past_the_catch_up_limit)
+{
+    constexpr milliseconds catch_up_limit{3000};
+    constexpr int draws = 500;
+    silence_case const& c = GetParam();
+    std::mt19937 random(20'261'204);
+    std::uniform_int_distribution<int> offset(100, 10'000);
+    std::uniform_int_distribution<int> length(
+        static_cast<int>(c.shortest.count()),
+        static_cast<int>(c.longest.count()));
+    for (int i = 0; i < draws; ++i)
+    {
+        instant const from = start + milliseconds{offset(random)};
+        instant const to = from + milliseconds{length(random)};
+        watched_store store{watch_settings{}};
+        store.be_silent(from, to);
+        store.change_at(to);
+        std::optional<instant> const seen =
+            store.run_until(to + milliseconds{60'000});
+        ASSERT_TRUE(seen.has_value());
+        ASSERT_LE(*seen - to, catch_up_limit)
+            << "silent from " << (from - start).count() << " to "
+            << (to - start).count() << " ms";
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    lengths,
+    silent_store,
+    testing::Values(
+        silence_case{"lost_answer", milliseconds{1}, milliseconds{50}},
+        silence_case{"short", milliseconds{50}, milliseconds{3000}},
+        silence_case{"long", milliseconds{3000}, milliseconds{12'000}}),
+    [](testing::TestParamInfo<silence_case> const& info)
+    {
+        return std::string(info.param.name);
+    });
+
 struct start_case
 {
     char const* name;
