--- a/cmake/targets.cmake
+++ b/cmake/targets.cmake
@@ -5,6 +5,7 @@
 # are benchmarks/*.cpp in one Google Benchmark program.
 function(cicada_library name)
   cmake_parse_arguments(ARG "" "" "DEPENDS;LINKS;TEST_LINKS" ${ARGN})
+  set_property(GLOBAL APPEND PROPERTY cicada_depends ${ARG_DEPENDS})
   file(GLOB sources CONFIGURE_DEPENDS src/*.cpp)
   if(sources)
     add_library(${name} STATIC ${sources})
@@ -33,6 +34,19 @@
   endif()
 endfunction()
 
+# cicada_check_depends()
+#
+# Fails if a library that another one depends on isn't part of the build; the
+# linker would take its name for a system library.
+function(cicada_check_depends)
+  get_property(depends GLOBAL PROPERTY cicada_depends)
+  foreach(library ${depends})
+    if(NOT TARGET ${library})
+      message(FATAL_ERROR "the build lacks the library ${library}")
+    endif()
+  endforeach()
+endfunction()
+
 # cicada_tool(NAME [DEPENDS lib...] [LINKS target...])
 #
 # A program of every *.cpp in its folder.
