Give up a watch of the store within the limit of an instance's catch-up

Cause: a watch that is sent into a silence of the store is never answered, also after the store's return. It was given up 4 s after it was sent and repeated 0.2 s later, so the configuration could be 4.2 s old beside a store that answered every other call. An instance counts as in touch 3 s after the return.

The wait, the timeout and the delay of a retry are derived from the limit now (catch-up-limit, the platform's contact-ms): half, three quarters and a twentieth of it, which leaves a fifth for the call that follows. So it holds for any moment at which the silence or a single lost answer falls.

--- a/libs/cell/include/cell/cell.hpp
+++ b/libs/cell/include/cell/cell.hpp
@@ -25,7 +25,9 @@
     address link;
     address metrics;
     address store;
-    address advisor;                //!< an empty host: no advisor
+    address advisor; //!< an empty host: no advisor
+    /** For the copy of the configuration, after the store answers again. */
+    milliseconds catch_up_limit{3000};
     milliseconds lease_limit{6000}; //!< longest lease that workers grant
     milliseconds stop_limit{6000};  //!< from SIGTERM to SIGKILL
     int descriptors = 4096;         //!< limit of open files
--- a/libs/cell/src/cell.cpp
+++ b/libs/cell/src/cell.cpp
@@ -148,10 +148,13 @@
             settings.advisor,
             http_client_settings{advisor_connections});
     }
+    store_watch::watch_settings const watch_settings =
+        store_watch::make_watch_settings(settings.catch_up_limit,
+                                         milliseconds{0});
     this->cell_watch = std::make_shared<watched_prefix>(
         this->shared,
         keys::cell,
-        store_watch::watch_settings{},
+        watch_settings,
         [this](watched_prefix::items const& items,
                std::vector<std::string> const&)
         {
@@ -160,7 +163,7 @@
     this->config_watch = std::make_shared<watched_prefix>(
         this->shared,
         keys::config,
-        store_watch::watch_settings{},
+        watch_settings,
         [this](watched_prefix::items const& items,
                std::vector<std::string> const&)
         {
--- a/libs/cell/src/placer.cpp
+++ b/libs/cell/src/placer.cpp
@@ -17,6 +17,7 @@
 constexpr milliseconds worker_list_pause{100}; //!< 48 workers write every 1.5 s
 constexpr milliseconds worker_list_wait{1000}; //!< scheduling needs the list
 constexpr milliseconds worker_list_timeout{2000};
+constexpr milliseconds worker_list_retry_delay{200};
 constexpr milliseconds failure_pause{100};
 constexpr milliseconds order_timeout{500};  //!< an answer usually takes 10 ms
 constexpr milliseconds poll_margin{700};    //!< beyond a poll's wait
@@ -25,19 +26,13 @@
 constexpr std::size_t order_connections = 4; //!< a worker has about 64 in all
 constexpr milliseconds max_lease{6000};
 
-store_watch::watch_settings intake_watch_settings()
-{
-    store_watch::watch_settings out;
-    out.pause = intake_pause;
-    return out;
-}
-
 store_watch::watch_settings worker_list_watch_settings()
 {
     store_watch::watch_settings out;
     out.wait = worker_list_wait;
     out.timeout = worker_list_timeout;
     out.pause = worker_list_pause;
+    out.retry_delay = worker_list_retry_delay;
     return out;
 }
 
@@ -293,7 +288,8 @@
     this->intake = std::make_shared<watched_prefix>(
         this->shared,
         keys::intake,
-        intake_watch_settings(),
+        store_watch::make_watch_settings(this->shared.settings.catch_up_limit,
+                                         intake_pause),
         [self](watched_prefix::items const& items,
                std::vector<std::string> const& changed)
         {
--- a/libs/cell/src/settings.cpp
+++ b/libs/cell/src/settings.cpp
@@ -1,4 +1,5 @@
 #include "cell/cell.hpp"
+#include "store_watch/store_watch.hpp"
 
 #include <cstdlib>
 #include <fstream>
@@ -127,6 +128,20 @@
         address_setting("listen", "link", &cell_settings::link),
         address_setting("listen", "metrics", &cell_settings::metrics),
         address_setting("store", "address", &cell_settings::store),
+        {"store",
+         "catch-up-limit",
+         "a duration from 1000ms",
+         false,
+         [](cell_settings& into, std::string const& text)
+         {
+             std::optional<milliseconds> const parsed = parse_duration(text);
+             if (!parsed || *parsed < store_watch::min_catch_up_limit)
+             {
+                 return false;
+             }
+             into.catch_up_limit = *parsed;
+             return true;
+         }},
         address_setting("advisor", "address", &cell_settings::advisor, false),
         duration_setting("workers", "lease-limit", &cell_settings::lease_limit),
         duration_setting("daemon", "stop-limit", &cell_settings::stop_limit),
--- a/libs/cell/tests/cell_test.cpp
+++ b/libs/cell/tests/cell_test.cpp
@@ -37,6 +37,42 @@
     EXPECT_EQ(read.assume_value().milli_cores, 120);
 }
 
+struct limit_case
+{
+    char const* name;
+    char const* text;
+    std::optional<milliseconds> read; //!< none: rejected
+};
+
+class a_catch_up_limit : public testing::TestWithParam<limit_case>
+{
+};
+
+TEST_P(a_catch_up_limit, is_at_least_a_second)
+{
+    limit_case const& c = GetParam();
+    checked<cell_settings> const read =
+        read_settings(good_settings + std::string("[store]\n") + c.text);
+    ASSERT_EQ(read.has_value(), c.read.has_value());
+    if (c.read)
+    {
+        EXPECT_EQ(read.assume_value().catch_up_limit, *c.read);
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    cases,
+    a_catch_up_limit,
+    testing::Values(
+        limit_case{"absent", "", milliseconds{3000}},
+        limit_case{"set", "catch-up-limit = 2000ms\n", milliseconds{2000}},
+        limit_case{"short", "catch-up-limit = 999ms\n", std::nullopt},
+        limit_case{"no_unit", "catch-up-limit = ms\n", std::nullopt}),
+    [](testing::TestParamInfo<limit_case> const& info)
+    {
+        return std::string(info.param.name);
+    });
+
 TEST(cell_settings_file, reports_every_problem)
 {
     checked<cell_settings> const read =
--- a/libs/store_watch/include/store_watch/store_watch.hpp
+++ b/libs/store_watch/include/store_watch/store_watch.hpp
@@ -17,14 +17,25 @@
 
 struct watch_settings
 {
-    milliseconds wait{3000};       //!< of the store, without a change
-    milliseconds timeout{4000};    //!< of a watch, with the wait
-    milliseconds pause{0};         //!< between watches; changes accumulate
-    milliseconds retry_delay{200}; //!< after a failed call
+    milliseconds wait{0};        //!< of the store, without a change
+    milliseconds timeout{0};     //!< of a watch, with the wait
+    milliseconds pause{0};       //!< between watches; changes accumulate
+    milliseconds retry_delay{0}; //!< after a failed call
 
     bool operator==(watch_settings const&) const = default;
 };
 
+/** Shorter limits would leave too little time for a store's answer. */
+constexpr milliseconds min_catch_up_limit{1000};
+
+/**
+ * Settings with which the copy is current at most `catch_up_limit` after the
+ * store answers again, whenever the last call was sent: timeout, retry delay
+ * and a fifth of the limit for the next call fit into it.
+ */
+watch_settings make_watch_settings(milliseconds catch_up_limit,
+                                   milliseconds pause);
+
 // ---- events; replies to calls other than the latest are ignored
 
 /** Starts with a read of all items, or from the revision of an earlier one. */
--- a/libs/store_watch/src/store_watch.cpp
+++ b/libs/store_watch/src/store_watch.cpp
@@ -98,6 +98,18 @@
 
 } // namespace
 
+watch_settings make_watch_settings(milliseconds catch_up_limit,
+                                   milliseconds pause)
+{
+    milliseconds const limit = std::max(catch_up_limit, min_catch_up_limit);
+    watch_settings out;
+    out.wait = limit / 2;
+    out.timeout = out.wait + limit / 4;
+    out.pause = pause;
+    out.retry_delay = limit / 20;
+    return out;
+}
+
 watch_state make_watch(watch_settings const& settings)
 {
     watch_state state;
--- a/libs/store_watch/tests/store_watch_test.cpp
+++ b/libs/store_watch/tests/store_watch_test.cpp
@@ -154,7 +154,7 @@
     {
         instant const from = start + milliseconds{offset(random)};
         instant const to = from + milliseconds{length(random)};
-        watched_store store{watch_settings{}};
+        watched_store store{make_watch_settings(catch_up_limit, {})};
         store.be_silent(from, to);
         store.change_at(to);
         std::optional<instant> const seen =
