Count calls to the store in the order in which they were sent

What callers saw: nothing in the logs at hand; operators saw store down (500) on all daemons seconds after the store's return, and for up to 0.25 s the daemons took jobs and cancels through peers, whose store was as well.

Cause: the store counted as failing if the last call to end had failed.

A failure counts now only if no call that was sent later has been answered.

--- a/libs/cell/src/cell_membership.cpp
+++ b/libs/cell/src/cell_membership.cpp
@@ -51,7 +51,6 @@
                 this->step_membership(membership::call_failed{});
                 return;
             }
-            this->shared.store_answered_at = this->shared.now();
             this->shared.log_event(events::store_lease_granted,
                                    "lease=" +
                                        std::to_string(lease.assume_value()));
--- a/libs/cell/src/cell_operations.cpp
+++ b/libs/cell/src/cell_operations.cpp
@@ -62,7 +62,8 @@
 void cell_daemon::impl::answer_probe(http_responder const& answer) const
 {
     bool const store_usable =
-        this->shared.now() < this->shared.store_answered_at + max_store_silence;
+        this->shared.now() <
+        this->shared.health.answered_at + max_store_silence;
     // Without the store, requests are relayed to peers. A recent load message
     // shows that they are connected.
     bool const peers_usable =
--- a/libs/cell/src/context.hpp
+++ b/libs/cell/src/context.hpp
@@ -6,6 +6,7 @@
 #include "event_numbers/event_numbers.hpp"
 #include "messages.hpp"
 #include "platform/platform.hpp"
+#include "store_health.hpp"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -42,8 +43,7 @@
     decision_log log;
     platform::kv_client store;
     std::optional<batch::cell_config> config;
-    instant store_answered_at; //!< the last successful call
-    instant store_failed_at;   //!< the last failed call
+    store_health health;
     bool stopping = false;
 
     explicit context(cell_settings const& daemon_settings)
@@ -66,10 +66,9 @@
             std::chrono::steady_clock::now());
     }
 
-    /** Whether the last call to the store failed. */
     bool store_failing() const
     {
-        return this->store_failed_at > this->store_answered_at;
+        return is_failing(this->health);
     }
 
     /** Records the outcome of a call to the store; logs a change. */
@@ -77,10 +76,9 @@
     void record_store_call(store_call const& call, result<T> const& reply)
     {
         bool const before = this->store_failing();
-        instant const answered_before = this->store_answered_at;
+        instant const answered_before = this->health.answered_at;
         instant const at = this->now();
-        (reply.has_value() ? this->store_answered_at : this->store_failed_at) =
-            at;
+        record_call(this->health, call.sent_at, at, reply.has_value());
         if (before == this->store_failing())
         {
             return;
--- a/libs/cell/src/placer.cpp
+++ b/libs/cell/src/placer.cpp
@@ -460,7 +460,7 @@
     return std::max(
         milliseconds{0},
         std::chrono::duration_cast<milliseconds>(
-            this->shared.store_answered_at - this->workers->answered_at()));
+            this->shared.health.answered_at - this->workers->answered_at()));
 }
 
 void placer::send_load()
