Watch again as soon as another call to the store is answered

Cause: a watch knew of the store's return only from its own call, which is lost if it was sent into the silence.

Once a call is answered after failures, a watch or read that was sent before that call is sent again, and a retry that waits is due at once; the reply to the former call is ignored. Renewals are sent every 0.25 s and given up after 1.5 s, so the copies are current within 1.8 s of the return, the common case; the timeout stays the bound for a single lost answer.

--- a/libs/cell/src/cell.cpp
+++ b/libs/cell/src/cell.cpp
@@ -169,6 +169,10 @@
         {
             this->handle_config(items);
         });
+    this->shared.on_store_recovery = [this](instant sent_at)
+    {
+        this->handle_store_recovery(sent_at);
+    };
 }
 
 result<void> cell_daemon::impl::listen()
--- a/libs/cell/src/cell_impl.hpp
+++ b/libs/cell/src/cell_impl.hpp
@@ -62,6 +62,7 @@
     void send_all(message const& m);
     bool send_to_placer(message const& m);
 
+    void handle_store_recovery(instant sent_at);
     void handle_config(watched_prefix::items const& items);
     void answer_probe(http_responder const& answer) const;
     void answer_metrics(http_responder const& answer) const;
--- a/libs/cell/src/cell_operations.cpp
+++ b/libs/cell/src/cell_operations.cpp
@@ -24,6 +24,16 @@
 
 // ---- configuration, probes, metrics
 
+void cell_daemon::impl::handle_store_recovery(instant sent_at)
+{
+    this->config_watch->handle_store_recovery(sent_at);
+    this->cell_watch->handle_store_recovery(sent_at);
+    if (this->active_placer)
+    {
+        this->active_placer->handle_store_recovery(sent_at);
+    }
+}
+
 void cell_daemon::impl::handle_config(watched_prefix::items const& items)
 {
     auto const item = items.find(keys::config);
--- a/libs/cell/src/context.hpp
+++ b/libs/cell/src/context.hpp
@@ -44,6 +44,8 @@
     platform::kv_client store;
     std::optional<batch::cell_config> config;
     store_health health;
+    /** Gets the time at which the call was sent that was answered first. */
+    std::function<void(instant)> on_store_recovery;
     bool stopping = false;
 
     explicit context(cell_settings const& daemon_settings)
@@ -93,6 +95,10 @@
         this->log_event(reply.has_value() ? events::store_available
                                           : events::store_unavailable,
                         detail);
+        if (reply.has_value() && this->on_store_recovery)
+        {
+            this->on_store_recovery(call.sent_at);
+        }
     }
 
     /** The detail is a list of KEY=VALUE. */
--- a/libs/cell/src/placer.cpp
+++ b/libs/cell/src/placer.cpp
@@ -413,6 +413,18 @@
     this->workers->start();
 }
 
+void placer::handle_store_recovery(instant sent_at)
+{
+    for (std::shared_ptr<watched_prefix> const& each :
+         {this->workers, this->intake})
+    {
+        if (each)
+        {
+            each->handle_store_recovery(sent_at);
+        }
+    }
+}
+
 void placer::handle_workers(watched_prefix::items const& known,
                             std::vector<std::string> const& changed)
 {
--- a/libs/cell/src/placer.hpp
+++ b/libs/cell/src/placer.hpp
@@ -44,6 +44,8 @@
      * the epoch key, which saves require. */
     void set_claim(std::uint64_t epoch, std::int64_t revision);
 
+    void handle_store_recovery(instant sent_at);
+
     /** None if the job isn't known, or the jobs haven't been read yet. */
     std::optional<batch::job_state> state_of(std::string const& job) const;
     bool ready() const;
--- a/libs/cell/src/watched_prefix.cpp
+++ b/libs/cell/src/watched_prefix.cpp
@@ -37,6 +37,11 @@
     this->stopped = true;
 }
 
+void watched_prefix::handle_store_recovery(instant sent_at)
+{
+    this->step(store_watch::store_recovered{sent_at});
+}
+
 instant watched_prefix::answered_at() const
 {
     return this->last_answer;
--- a/libs/cell/src/watched_prefix.hpp
+++ b/libs/cell/src/watched_prefix.hpp
@@ -34,6 +34,10 @@
     void start_from(std::int64_t revision);
     void stop();
 
+    /** After failures, another call to the store, sent at that time, has been
+     * answered. */
+    void handle_store_recovery(instant sent_at);
+
     /** Time of the last successful read or watch. */
     instant answered_at() const;
 
--- a/libs/store_watch/include/store_watch/store_watch.hpp
+++ b/libs/store_watch/include/store_watch/store_watch.hpp
@@ -62,12 +62,22 @@
     std::uint64_t call = 0;
 };
 
+/** After failures, another call to the store has been answered. */
+struct store_recovered
+{
+    instant sent_at; //!< of that call
+};
+
 struct timer_fired
 {
 };
 
-using event_body = std::
-    variant<watch_started, items_read, changes_read, call_failed, timer_fired>;
+using event_body = std::variant<watch_started,
+                                items_read,
+                                changes_read,
+                                call_failed,
+                                store_recovered,
+                                timer_fired>;
 
 struct event
 {
@@ -107,6 +117,8 @@
     bool has_items = false;    //!< if not, the next call reads all of them
     std::uint64_t call = 0;    //!< number of the latest call
     bool call_in_flight = false;
+    instant sent_at;            //!< of the latest call
+    bool retrying = false;      //!< the latest call failed; the next one is due
     std::optional<instant> due; //!< of the next call
 };
 
--- a/libs/store_watch/src/store_watch.cpp
+++ b/libs/store_watch/src/store_watch.cpp
@@ -54,10 +54,22 @@
     {
         if (is_awaited(this->state, e.call))
         {
+            this->state.retrying = true;
             this->call_after(this->state.settings.retry_delay);
         }
     }
 
+    void operator()(store_recovered const& e) const
+    {
+        bool const waits_to_retry = this->state.due && this->state.retrying;
+        bool const may_hang =
+            this->state.call_in_flight && this->state.sent_at < e.sent_at;
+        if (waits_to_retry || may_hang)
+        {
+            this->call();
+        }
+    }
+
     void operator()(timer_fired const&) const
     {
         if (this->state.due && this->now >= *this->state.due)
@@ -82,6 +94,8 @@
     void call() const
     {
         this->state.due.reset();
+        this->state.retrying = false;
+        this->state.sent_at = this->now;
         this->state.call += 1;
         this->state.call_in_flight = true;
         if (!this->state.has_items)
--- a/libs/store_watch/tests/store_watch_test.cpp
+++ b/libs/store_watch/tests/store_watch_test.cpp
@@ -33,6 +33,12 @@
         this->changed_at = at;
     }
 
+    /** Another call, sent then, is answered after a round trip. */
+    void recover_at(instant sent_at)
+    {
+        this->events.emplace(sent_at + round_trip, store_recovered{sent_at});
+    }
+
     /** When the copy has the change; none if it hasn't by `end`. */
     std::optional<instant> run_until(instant end)
     {
@@ -178,6 +184,39 @@
         return std::string(info.param.name);
     });
 
+TEST(a_store_that_recovered, is_watched_again_at_once)
+{
+    constexpr int draws = 500;
+    std::mt19937 random(20'261'204);
+    std::uniform_int_distribution<int> offset(100, 10'000);
+    std::uniform_int_distribution<int> length(1600, 12'000);
+    std::uniform_int_distribution<int> noticed_after(0, 2000);
+    for (int i = 0; i < draws; ++i)
+    {
+        instant const from = start + milliseconds{offset(random)};
+        instant const to = from + milliseconds{length(random)};
+        instant const noticed = to + milliseconds{noticed_after(random)};
+        watched_store store{make_watch_settings(milliseconds{3000}, {})};
+        store.be_silent(from, to);
+        store.change_at(to);
+        store.recover_at(noticed);
+        std::optional<instant> const seen =
+            store.run_until(to + milliseconds{60'000});
+        ASSERT_TRUE(seen.has_value());
+        ASSERT_LE(*seen - noticed, round_trip * 2)
+            << "silent from " << (from - start).count() << " to "
+            << (to - start).count() << " ms";
+    }
+}
+
+TEST(a_store_that_recovered, keeps_a_watch_that_was_sent_later)
+{
+    watch_state state = make_watch({});
+    step(state, {start, watch_started{7}});
+    EXPECT_TRUE(
+        step(state, {start, store_recovered{start - round_trip}}).empty());
+}
+
 struct start_case
 {
     char const* name;
