Don't reuse connections that were idle while a call on another one hung

Cause: the client takes the connection that was used last.

After a call failed, connections that were idle since before it was sent are closed; the next call opens one. A single failed call costs as many new connections as were idle for that long.

pooled_connections.that_went_silent_delay_one_call_only failed before (the second call got no answer in 5 s) and passes.

--- a/libs/http/include/http/http.hpp
+++ b/libs/http/include/http/http.hpp
@@ -108,8 +108,8 @@
  * Calls one address over pooled connections; calls that find no free
  * connection wait in order. Errors: `unavailable` if no byte of the request was
  * sent, `unknown` if the server may have handled it. A connection that failed
- * or timed out is not used again. The destructor drops the calls in progress
- * without calling back.
+ * or timed out is not used again, nor are those that were idle all the while.
+ * The destructor drops the calls in progress without calling back.
  */
 class http_client
 {
--- a/libs/http/src/client.cpp
+++ b/libs/http/src/client.cpp
@@ -47,6 +47,7 @@
     }
 
     void start_waiting_calls();
+    void close_idle_since_before(clock::time_point when);
     void schedule_expiry();
     void fail_expired();
 
@@ -124,6 +125,11 @@
         this->stream.close();
     }
 
+    clock::time_point last_used() const
+    {
+        return this->last_answer_at;
+    }
+
 private:
     void set_socket_options()
     {
@@ -202,6 +208,8 @@
 
     void fail(error_code code, failure const& problem)
     {
+        // The others may have gone silent with it.
+        this->owner->close_idle_since_before(this->started_at);
         milliseconds const queued = std::chrono::duration_cast<milliseconds>(
             this->started_at - this->current->called_at);
         this->finish(error{code,
@@ -224,6 +232,7 @@
         if (keep)
         {
             this->stream.expires_never();
+            this->last_answer_at = clock::now();
             client->idle.push_back(this->shared_from_this());
         }
         else
@@ -247,7 +256,8 @@
     beast::flat_buffer buffer;
     std::optional<pending_call> current;
     clock::time_point started_at; //!< when `current` got this connection
-    bool reused = false;          //!< an earlier call succeeded
+    clock::time_point last_answer_at;
+    bool reused = false; //!< an earlier call succeeded
     bhttp::request<bhttp::string_body> message;
     std::optional<bhttp::response_parser<bhttp::string_body>> parser;
 };
@@ -279,6 +289,22 @@
     }
 }
 
+void http_client::impl::close_idle_since_before(clock::time_point when)
+{
+    auto const kept =
+        std::stable_partition(this->idle.begin(),
+                              this->idle.end(),
+                              [when](std::shared_ptr<connection> const& each)
+                              {
+                                  return each->last_used() < when;
+                              });
+    for (auto each = this->idle.begin(); each != kept; ++each)
+    {
+        (*each)->close();
+    }
+    this->idle.erase(this->idle.begin(), kept);
+}
+
 void http_client::impl::schedule_expiry()
 {
     this->expiry_timer.expires_at(this->waiting.front().deadline);
--- a/libs/http/tests/http_test.cpp
+++ b/libs/http/tests/http_test.cpp
@@ -3,6 +3,7 @@
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read.hpp>
+#include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 #include <gtest/gtest.h>
 
@@ -178,6 +179,126 @@
     EXPECT_EQ(this->server->in_progress(), 0u);
 }
 
+// ---- connections that go silent
+
+/** Answers each request with status 200 until its open connections go silent:
+ * further requests on them get no answer, new connections do. */
+class silencing_server
+{
+public:
+    explicit silencing_server(asio::io_context& loop)
+        : acceptor(loop, {asio::ip::make_address("127.0.0.1"), 0})
+    {
+        this->accept();
+    }
+
+    address where() const
+    {
+        return {"127.0.0.1", this->acceptor.local_endpoint().port()};
+    }
+
+    void silence_open_connections()
+    {
+        for (std::shared_ptr<connection> const& each : this->connections)
+        {
+            each->silent = true;
+        }
+    }
+
+    std::size_t accepted() const
+    {
+        return this->connections.size();
+    }
+
+private:
+    struct connection
+    {
+        asio::ip::tcp::socket socket;
+        std::string received;
+        bool silent = false;
+    };
+
+    void accept()
+    {
+        this->acceptor.async_accept(
+            [this](boost::system::error_code const& failed,
+                   asio::ip::tcp::socket socket)
+            {
+                if (failed)
+                {
+                    return;
+                }
+                this->connections.push_back(std::make_shared<connection>(
+                    connection{std::move(socket), ""}));
+                this->answer_next(this->connections.back());
+                this->accept();
+            });
+    }
+
+    void answer_next(std::shared_ptr<connection> const& from)
+    {
+        asio::async_read_until(
+            from->socket,
+            asio::dynamic_buffer(from->received),
+            "\r\n\r\n",
+            [this, from](boost::system::error_code const& failed, std::size_t)
+            {
+                if (failed || from->silent)
+                {
+                    return;
+                }
+                from->received.clear();
+                asio::write(
+                    from->socket,
+                    asio::buffer(std::string("HTTP/1.1 200 OK\r\n"
+                                             "Content-Length: 0\r\n\r\n")));
+                this->answer_next(from);
+            });
+    }
+
+    asio::ip::tcp::acceptor acceptor;
+    std::vector<std::shared_ptr<connection>> connections;
+};
+
+TEST(pooled_connections, that_went_silent_delay_one_call_only)
+{
+    constexpr std::size_t pooled = 4;
+    asio::io_context loop{1};
+    silencing_server server(loop);
+    http_client client(loop, server.where(), {pooled * 2});
+    std::vector<bool> answered;
+    auto const call = [&client, &answered](milliseconds timeout)
+    {
+        client.call({"GET", "/", {}, ""},
+                    timeout,
+                    [&answered](result<http_reply> const& outcome)
+                    {
+                        answered.push_back(outcome.has_value());
+                    });
+    };
+    auto const run_until = [&loop, &answered](std::size_t calls)
+    {
+        while (answered.size() < calls)
+        {
+            loop.run_one();
+        }
+    };
+    for (std::size_t i = 0; i < pooled; ++i)
+    {
+        call(milliseconds{5000});
+    }
+    run_until(pooled);
+    ASSERT_EQ(server.accepted(), pooled);
+    server.silence_open_connections();
+    call(milliseconds{60});
+    run_until(pooled + 1);
+    EXPECT_FALSE(answered.back());
+    call(milliseconds{5000});
+    run_until(pooled + 2);
+    EXPECT_TRUE(answered.back());
+    EXPECT_EQ(server.accepted(), pooled + 1);
+}
+
 // ---- draining with unread requests
 
 /** A request waits in the socket's receive buffer, unread by the server, when
