Visit the workers of a large fleet less often

Cause: the placer is late. Every 10 ms it visits all workers four times (expired leases, unknown jobs, roster, orders to resend) and once more for a placement pass, whatever there is to do; with 540 workers that uses up a third of the processor time that it has, and each step of a ping waits 70 ms and more.

A placement pass follows the one before after 50 us a worker at the earliest: 10 ms up to 200 workers as before, 17 ms at 350, 27 ms at 540. Once all workers are known, leases, unknown jobs and orders to resend are looked at every 50 ms; their limits are 250 ms and more. Ruled out: advice and room on the workers, which are the same when processor time isn't charged, and pings are in aim then.

placement_passes.visit_a_bounded_number_of_workers_a_second failed before for the grown and the large fleet (100 passes, 60 and 40 allowed) and passes.

--- a/libs/batch/src/batch.cpp
+++ b/libs/batch/src/batch.cpp
@@ -9,6 +9,16 @@
 {
 
 constexpr milliseconds idle_place_pause{40}; //!< between passes without events
+/** Interval of the visits to the runs of all workers for expired leases,
+ * unknown jobs and orders to resend, each of which may be this much late. The
+ * timer fires more often, for polls. */
+constexpr milliseconds maintenance_interval{50};
+
+/** Until the scheduler is settled, its tasks wait for these visits. */
+bool maintenance_due(scheduler const& s)
+{
+    return !s.settled || s.now >= s.next_maintenance;
+}
 
 struct dispatcher
 {
@@ -17,9 +27,12 @@
     void operator()(time_passed const& given) const
     {
         this->s.list_lag = given.list_lag;
-        expire_leases(this->s);
+        if (maintenance_due(this->s))
+        {
+            expire_leases(this->s);
+            read_unknown_jobs(this->s);
+        }
         save_roster_changes(this->s);
-        read_unknown_jobs(this->s);
         // No event reports that a requester or an avoided worker is available
         // again, so passes also run periodically.
         if (this->s.now >= this->s.next_placement + idle_place_pause)
@@ -142,9 +155,17 @@
 {
     if (std::holds_alternative<time_passed>(happened))
     {
+        bool const resend_due = maintenance_due(s);
+        if (resend_due)
+        {
+            s.next_maintenance = s.now + maintenance_interval;
+        }
         for (auto& entry : s.workers)
         {
-            resend_orders(s, entry.second);
+            if (resend_due)
+            {
+                resend_orders(s, entry.second);
+            }
             poll_if_due(s, entry.second);
         }
         return;
--- a/libs/batch/src/placing.cpp
+++ b/libs/batch/src/placing.cpp
@@ -20,6 +20,17 @@
 /** With at most this many waiting steps, every pass visits all of them. */
 constexpr std::size_t full_pass_step_limit = 30;
 
+/** A pass visits all workers: in a large fleet passes are rarer, so that their
+ * share of the processor doesn't grow with it. */
+constexpr std::chrono::microseconds pass_interval_per_worker{50};
+
+milliseconds pass_interval(scheduler const& s)
+{
+    return std::max(s.settings.placement_interval,
+                    std::chrono::duration_cast<milliseconds>(
+                        pass_interval_per_worker * s.workers.size()));
+}
+
 auto placement_order(waiting_step const& step)
 {
     return std::tie(
@@ -137,7 +148,7 @@
         return;
     }
     s.placement_due = false;
-    s.next_placement = s.now + s.settings.placement_interval;
+    s.next_placement = s.now + pass_interval(s);
     free_capacity capacity = gather_free_capacity(s);
     if (capacity.workers.empty())
     {
--- a/libs/batch/src/state.hpp
+++ b/libs/batch/src/state.hpp
@@ -201,6 +201,7 @@
     std::uint64_t last_job_read = 0;
     bool job_read_pending = false;
     instant next_job_read;
+    instant next_maintenance;
     bool placement_due = false;
     instant next_placement;
     instant next_full_pass; //!< next pass over steps of all ranks
