Visit the workers for polls and the roster by the fleet's size

Its timer fires every 10 ms and looked at all workers for polls and roster changes each time; now every 50 us a worker, 27 ms at 540 workers, and every time up to 200 as before. An answer still leads to the worker's next poll by itself. The tests of batch and its model pass.

--- a/libs/batch/src/batch.cpp
+++ b/libs/batch/src/batch.cpp
@@ -14,10 +14,16 @@
  * timer fires more often, for polls. */
 constexpr milliseconds maintenance_interval{50};
 
-/** Until the scheduler is settled, its tasks wait for these visits. */
+/** In a large fleet, not every time_passed event visits the workers, unless
+ * tasks wait for the scheduler to be settled. */
+bool visit_due(scheduler const& s)
+{
+    return !s.settled || s.now >= s.next_visit;
+}
+
 bool maintenance_due(scheduler const& s)
 {
-    return !s.settled || s.now >= s.next_maintenance;
+    return visit_due(s) && (!s.settled || s.now >= s.next_maintenance);
 }
 
 struct dispatcher
@@ -32,7 +38,10 @@
             expire_leases(this->s);
             read_unknown_jobs(this->s);
         }
-        save_roster_changes(this->s);
+        if (visit_due(this->s))
+        {
+            save_roster_changes(this->s);
+        }
         // No event reports that a requester or an avoided worker is available
         // again, so passes also run periodically.
         if (this->s.now >= this->s.next_placement + idle_place_pause)
@@ -155,6 +164,11 @@
 {
     if (std::holds_alternative<time_passed>(happened))
     {
+        if (!visit_due(s))
+        {
+            return;
+        }
+        s.next_visit = s.now + visit_interval(s);
         bool const resend_due = maintenance_due(s);
         if (resend_due)
         {
--- a/libs/batch/src/placing.cpp
+++ b/libs/batch/src/placing.cpp
@@ -20,16 +20,7 @@
 /** With at most this many waiting steps, every pass visits all of them. */
 constexpr std::size_t full_pass_step_limit = 30;
 
-/** A pass visits all workers: in a large fleet passes are rarer, so that their
- * share of the processor doesn't grow with it. */
-constexpr std::chrono::microseconds pass_interval_per_worker{50};
-
-milliseconds pass_interval(scheduler const& s)
-{
-    return std::max(s.settings.placement_interval,
-                    std::chrono::duration_cast<milliseconds>(
-                        pass_interval_per_worker * s.workers.size()));
-}
+constexpr std::chrono::microseconds visit_interval_per_worker{50};
 
 auto placement_order(waiting_step const& step)
 {
@@ -140,6 +131,12 @@
 
 } // namespace
 
+milliseconds visit_interval(scheduler const& s)
+{
+    return std::chrono::duration_cast<milliseconds>(visit_interval_per_worker *
+                                                    s.workers.size());
+}
+
 void place_tasks(scheduler& s)
 {
     if (s.stopped || !s.placement_due || s.now < s.next_placement ||
@@ -148,7 +145,8 @@
         return;
     }
     s.placement_due = false;
-    s.next_placement = s.now + pass_interval(s);
+    s.next_placement =
+        s.now + std::max(s.settings.placement_interval, visit_interval(s));
     free_capacity capacity = gather_free_capacity(s);
     if (capacity.workers.empty())
     {
--- a/libs/batch/src/state.hpp
+++ b/libs/batch/src/state.hpp
@@ -202,6 +202,7 @@
     bool job_read_pending = false;
     instant next_job_read;
     instant next_maintenance;
+    instant next_visit; //!< of all workers, for polls and the roster
     bool placement_due = false;
     instant next_placement;
     instant next_full_pass; //!< next pass over steps of all ranks
@@ -287,6 +288,9 @@
 
 // ---- placing.cpp
 
+/** Returns the least interval of visits to all workers: longer in a large
+ * fleet, so that the visits' share of the processor doesn't grow with it. */
+milliseconds visit_interval(scheduler const& s);
 void place_tasks(scheduler& s);
 
 // ---- advice.cpp
