Send no pong, and no ping beside messages

With 97 daemons the links took 23% of the placer's processor time (perf on a soak): for each peer and second it sent five load messages, two pings and two pongs, and read two pings and two pongs.

Both sides send something every 500 ms, so a pong tells nothing more, and a message serves as a ping. Silence is still noticed in each direction by itself: fault.is_noticed_and_a_new_link_comes_up passes unchanged, and stays_up_beside_messages_in_one_direction is new. A daemon of an older build hears the pings and messages of a newer one.

--- a/libs/link/include/link/link.hpp
+++ b/libs/link/include/link/link.hpp
@@ -26,7 +26,8 @@
     std::string token;                //!< shared by all daemons of a cell
     std::string host = "127.0.0.1";   //!< an IP number to listen on
     std::uint16_t port = 0;           //!< 0: any free one
-    std::chrono::milliseconds ping_period{500};    //!< in both directions
+    /** In both directions, unless a message was sent. */
+    std::chrono::milliseconds ping_period{500};
     std::chrono::milliseconds silence_limit{2000}; //!< then it is closed
     std::chrono::milliseconds dial_limit{2000};    //!< until the peer's hello
     std::chrono::milliseconds first_backoff{100};
--- a/libs/link/src/link_core.cpp
+++ b/libs/link/src/link_core.cpp
@@ -158,6 +158,7 @@
         this->count(&link_counters::unsent);
         return;
     }
+    to->last_sent = std::chrono::steady_clock::now();
     std::lock_guard<std::mutex> const lock(this->counters_mutex);
     link_traffic& traffic = this->counted.sent[kind];
     ++traffic.messages;
@@ -240,9 +241,9 @@
         this->drop(id, "silent");
         return;
     }
-    if (now - checked.last_ping >= this->settings.ping_period)
+    if (now - checked.last_sent >= this->settings.ping_period)
     {
-        checked.last_ping = now;
+        checked.last_sent = now;
         websocketpp::lib::error_code ignored;
         checked.connection->ping("", ignored);
     }
--- a/libs/link/src/link_sessions.cpp
+++ b/libs/link/src/link_sessions.cpp
@@ -82,7 +82,8 @@
         [this, id](websocketpp::connection_hdl const&, std::string const&)
         {
             this->on_heard(id);
-            return true;
+            // No pong: the peer hears this daemon's own pings and messages.
+            return false;
         });
     connection.set_pong_handler(
         [this, id](websocketpp::connection_hdl const&, std::string const&)
--- a/libs/link/src/sessions.hpp
+++ b/libs/link/src/sessions.hpp
@@ -31,7 +31,7 @@
     session_stage stage = session_stage::dialing;
     link_time began;
     link_time last_heard;
-    link_time last_ping;
+    link_time last_sent;    //!< a ping or a message
     std::uint64_t dial = 0; //!< this daemon's number of it, if dialed
     hello said;             //!< by the peer, when up
 };
--- a/libs/link/tests/link_test.cpp
+++ b/libs/link/tests/link_test.cpp
@@ -61,6 +61,24 @@
     EXPECT_EQ(links.far.counters().ups, 1U);
 }
 
+TEST(link, stays_up_beside_messages_in_one_direction)
+{
+    link_settings const settings = quick_settings("a");
+    pair_of_links links(settings);
+    ASSERT_TRUE(links.both_up());
+    std::chrono::steady_clock::time_point const end =
+        std::chrono::steady_clock::now() + settings.silence_limit * 4;
+    long sent = 0;
+    while (std::chrono::steady_clock::now() < end)
+    {
+        links.near.send("b", "one way", "test");
+        ASSERT_TRUE(links.far_saw.sees("a: one way", ++sent));
+    }
+    EXPECT_EQ(links.near.counters().silent, 0U);
+    EXPECT_EQ(links.far.counters().silent, 0U);
+    EXPECT_EQ(links.near.counters().ups, 1U);
+}
+
 /** What one side is told that the other doesn't accept. */
 struct refusal_case
 {
