--- a/libs/cell/src/watched_prefix.cpp
+++ b/libs/cell/src/watched_prefix.cpp
@@ -62,14 +62,14 @@
     return this->watch.revision;
 }
 
-void watched_prefix::step(store_watch::event_body body)
+void watched_prefix::step(store_watch::event_body const& body)
 {
     if (this->stopped)
     {
         return;
     }
     std::vector<store_watch::effect> const effects =
-        store_watch::step(this->watch, {this->shared.now(), std::move(body)});
+        store_watch::step(this->watch, {this->shared.now(), body});
     for (store_watch::effect const& each : effects)
     {
         std::visit(
--- a/libs/cell/src/watched_prefix.hpp
+++ b/libs/cell/src/watched_prefix.hpp
@@ -51,7 +51,7 @@
     std::int64_t known_revision() const;
 
 private:
-    void step(store_watch::event_body body);
+    void step(store_watch::event_body const& body);
     void execute(store_watch::read_items const& effect);
     void execute(store_watch::watch_items const& effect);
     void execute(store_watch::set_timer const& effect);
