--- a/review/standin/fleet.cc
+++ b/review/standin/fleet.cc
@@ -127,6 +127,30 @@
         asio::detached);
 }
 
+void fleet::restart(std::size_t which, milliseconds away)
+{
+    executor& e = *this->executors[which];
+    if (e.away || e.cut)
+    {
+        return;
+    }
+    e.away = true;
+    e.listener->refusing = true;
+    this->lose_runs(e);
+    e.listener->close_connections();
+    this->rules.note("restart " + e.id);
+    asio::co_spawn(
+        this->loop,
+        [this, &e, away]() -> awaitable<void>
+        {
+            co_await pause_for(away);
+            this->begin_life(e);
+            this->beat(e);
+            this->rules.note("back " + e.id);
+        },
+        asio::detached);
+}
+
 void fleet::begin_life(executor& e)
 {
     e.away = false;
@@ -243,7 +267,6 @@
         {
             co_await pause_for(span);
             e.cut = false;
-            e.listener->reset_connections();
             this->rules.note("healed " + e.id);
         },
         asio::detached);
@@ -259,10 +282,9 @@
 awaitable<reply> fleet::serve(executor& e, request r)
 {
     std::int64_t const life = e.born;
-    if (e.cut)
-    {
-        co_return reply{0, {}, true};
-    }
+    // What is sent while the path is cut arrives after it has healed, as TCP
+    // repeats it; the sender may have given up by then.
+    co_await this->until_healed(e);
     if (!r.expected_instance.empty() && r.expected_instance != e.id)
     {
         co_return this->stamped(e, 421, json::object());
@@ -334,10 +356,24 @@
     {
         out = this->stamped(e, 400, json::object());
     }
-    out.unanswered = out.unanswered || e.cut;
+    co_await this->until_healed(e);
     co_return out;
 }
 
+awaitable<void> fleet::until_healed(executor& e)
+{
+    constexpr milliseconds repeat_delay{200};
+    bool const was_cut = e.cut;
+    while (e.cut)
+    {
+        co_await pause_for(milliseconds(10));
+    }
+    if (was_cut)
+    {
+        co_await pause_for(repeat_delay);
+    }
+}
+
 void fleet::extend(executor& e, json const& body)
 {
     if (body.contains("deadline-ms"))
@@ -431,6 +467,11 @@
         return this->stamped(e, 409, json{{"reason", "late"}});
     }
     this->extend(e, body);
+    for (std::size_t k = 0; k < this->executors.size(); ++k)
+    {
+        this->last_started =
+            this->executors[k].get() == &e ? k : this->last_started;
+    }
     std::string const spec = body.value("spec", "");
     this->rules.started(*task, run, e.id, spec);
     auto const job = this->rules.jobs.find(task->job);
--- a/review/standin/fleet.h
+++ b/review/standin/fleet.h
@@ -83,6 +83,8 @@
     void move(std::size_t which, milliseconds away);
     /** No message gets through for the span, and the executor runs on. */
     void cut(std::size_t which, milliseconds span);
+    /** Its process ends and starts again under its id; it registers at once. */
+    void restart(std::size_t which, milliseconds away);
 
     /** Whether the tasks of the step fit twice over on live executors. */
     bool has_room_twice(step_shape const& step) const;
@@ -91,10 +93,12 @@
 
     std::vector<std::unique_ptr<executor>> executors;
     double late_share = 0.0; //!< of orders, carried out 2 to 12 s later
+    std::size_t last_started = 0; //!< the executor that got the last start
     int gangs_with_unequal_checkpoints = 0;
 
 private:
     awaitable<reply> serve(executor& e, request r);
+    awaitable<void> until_healed(executor& e);
     awaitable<reply> hold(executor& e, json body);
     reply start(executor& e, json const& body);
     reply stop(executor& e, json const& body);
--- a/review/standin/main.cc
+++ b/review/standin/main.cc
@@ -398,6 +398,47 @@
         });
 }
 
+/** An executor's process ends and is back at once under its id, a job comes
+ * 0.1 s later, and 1.5 s after the restart the executor is cut off and runs
+ * on. */
+int play_long_lease(arguments const& given)
+{
+    fleet_settings chosen = small_fleet(given.seed);
+    queue_settings const queue{"plain", "q.example", "/plain/", 1, 3, 4.0, 3000};
+    stage s(given, chosen, {queue});
+    load_settings load;
+    load.queue = queue;
+    load.seed = given.seed;
+    clients& only = s.add(load);
+    step_shape shape = simple_step(9000);
+    shape.count = 8;
+    return s.play(
+        [&]() -> awaitable<void>
+        {
+            constexpr int rounds = 5;
+            constexpr milliseconds cut_for{5500};
+            co_await pause_for(milliseconds(6000));
+            for (int k = 0; k < rounds; ++k)
+            {
+                only.submit({shape});
+                co_await pause_for(milliseconds(2000));
+                std::size_t const which = s.workers->last_started;
+                if (given.trouble)
+                {
+                    s.workers->restart(which, milliseconds(50));
+                }
+                co_await pause_for(milliseconds(100));
+                only.submit({shape});
+                co_await pause_for(milliseconds(1400));
+                if (given.trouble)
+                {
+                    s.workers->cut(which, cut_for);
+                }
+                co_await pause_for(milliseconds(9500));
+            }
+        });
+}
+
 } // namespace
 
 int main(int argc, char** argv)
@@ -429,6 +470,10 @@
         {
             return play_new_address(given);
         }
+        if (given.name == "long-lease")
+        {
+            return play_long_lease(given);
+        }
         if (given.name == "new-kind")
         {
             return play_new_kind(given);
--- a/review/standin/platform.cc
+++ b/review/standin/platform.cc
@@ -37,6 +37,17 @@
     }
 }
 
+void server::close_connections()
+{
+    std::set<std::shared_ptr<tcp::socket>> all;
+    all.swap(this->open);
+    for (std::shared_ptr<tcp::socket> const& each : all)
+    {
+        boost::system::error_code ignored;
+        each->close(ignored);
+    }
+}
+
 awaitable<void> server::accept()
 {
     for (;;)
--- a/review/standin/platform.h
+++ b/review/standin/platform.h
@@ -64,6 +64,8 @@
     std::uint16_t port() const;
     /** Resets every open connection. */
     void reset_connections();
+    /** Closes every open connection, as the end of a process does. */
+    void close_connections();
     bool refusing = false; //!< new connections are closed at once
 
 private:
