--- a/review/standin/judge.h
+++ b/review/standin/judge.h
@@ -84,7 +84,7 @@
     struct task_history
     {
         std::map<std::uint64_t, std::string> running; //!< run to executor
-        bool done = false;       //!< a run has ended done
+        bool done = false;                            //!< a run has ended done
         bool done_noted = false; //!< and that end was taken note of
         /** Starts after the end done of a run, by run. */
         std::map<std::uint64_t, std::vector<std::string>> starts_after;
