A restarted worker may hold the longest lease: count on it

Cause: a start carries the end of the lease by the clock of the incarnation that the placer knows. The worker had restarted under the same id 0.1 s before; its clock counts from 0, so the deadline lies far ahead and it grants the longest lease, 10 s. The placer counted on 6.4 s, before and after it learned of the restart, and gave the runs up when the worker was cut off for 5.5 s.

Ruled out: that the token or the expected instance keeps the start away. A new incarnation has seen no token, and the instance is named by its id.

Change: a run that no report has listed counts for the longest lease from the last order with a lease; after the first answer to a raised token all runs of the worker do. The lease limit is a setting of the scheduler. The same path after a takeover: a new placer relied on the lease that its predecessor meant to give, and waits for the longest one now.

Why it works: a report names its incarnation, so a listed run either lives in that incarnation, whose lease is known, or ended with it.

--- a/libs/batch/include/batch/batch.hpp
+++ b/libs/batch/include/batch/batch.hpp
@@ -498,8 +498,11 @@
 /** Settings that stay constant while a placer runs. */
 struct scheduler_settings
 {
-    std::uint64_t epoch = 1;      //!< higher than that of every earlier placer
-    milliseconds lease{6000};     //!< lease of a worker's runs from each poll
+    std::uint64_t epoch = 1;  //!< higher than that of every earlier placer
+    milliseconds lease{6000}; //!< lease of a worker's runs from each poll
+    /** The longest lease that a worker grants, whatever deadline an order
+     * carries. */
+    milliseconds lease_limit{10'000};
     milliseconds poll_wait{1000}; //!< maximum wait of a poll for a run to end
     /** Between attempts of an order without answer. */
     milliseconds resend_interval{150};
--- a/libs/batch/src/runs.cpp
+++ b/libs/batch/src/runs.cpp
@@ -35,7 +35,7 @@
 milliseconds longest_lease(scheduler const& s)
 {
     return milliseconds(static_cast<std::int64_t>(
-               static_cast<double>(s.settings.lease.count()) *
+               static_cast<double>(s.settings.lease_limit.count()) *
                clock_drift_factor)) +
            lease_margin;
 }
@@ -46,6 +46,7 @@
     run_record record;
     record.run = seen.run;
     record.phase = run_phase::running;
+    record.reported = true;
     record.started = s.now;
     record.checkpoint = seen.checkpoint;
     record.unknown_size = task == nullptr;
--- a/libs/batch/src/state.hpp
+++ b/libs/batch/src/state.hpp
@@ -37,6 +37,9 @@
     /** A start has no answer and may still be carried out late. */
     bool start_uncertain = false;
     bool order_pending = false; //!< an order is unanswered
+    /** A report has listed it. Until then, its start may have reached a later
+     * incarnation of the worker than the one it was meant for. */
+    bool reported = false;
     int start_attempts = 0;
     instant next_attempt;
     instant started;
@@ -71,8 +74,10 @@
     instant next_poll;
     std::int64_t clock_ms = 0; //!< the worker's clock in its last answer
     instant clock_read_at;
-    instant lease_end;              //!< runs end by then unless it is extended
-    std::uint64_t processed = 0;    //!< highest end number handled
+    /** Runs of this incarnation end by then unless the lease is extended. */
+    instant lease_end;
+    instant lease_sent_at;       //!< when the last order with a lease was sent
+    std::uint64_t processed = 0; //!< highest end number handled
     std::uint64_t acknowledged = 0; //!< highest end number stored
     /** Pairs of end number and change number. */
     std::deque<std::pair<std::uint64_t, std::uint64_t>> unsaved_ends;
@@ -254,7 +259,9 @@
 void apply_run_end(scheduler& s, worker_record& w, finished_run const& end);
 /** Removes the run and frees its capacity. */
 void release_run(scheduler& s, worker_record& w, task_ref const& task);
-/** Returns how long a lease given now may last by this daemon's clock. */
+/** Returns how long a worker's lease may last from now on by this daemon's
+ * clock, whoever extended it, even with a deadline that was computed from the
+ * clock of an earlier incarnation. */
 milliseconds longest_lease(scheduler const& s);
 
 // ---- unknown_jobs.cpp
--- a/libs/batch/src/workers.cpp
+++ b/libs/batch/src/workers.cpp
@@ -25,6 +25,14 @@
     w.unknown_ends.clear();
     w.truncated = false;
     w.clock_ms = 0;
+    if (w.incarnations > 1)
+    {
+        log(s,
+            events::worker_state_changed,
+            "worker=" + w.offer.id +
+                " state=restarted incarnation=" + std::to_string(incarnation) +
+                " runs=" + std::to_string(w.runs.size()));
+    }
 }
 
 void drop_run(scheduler& s,
@@ -42,12 +50,33 @@
     requeue_task(s, task, lost.run, lost.checkpoint);
 }
 
-/** Drops all runs of a worker on which none of them exists any more. */
-void drop_all_runs(scheduler& s, worker_record& w, std::string const& why)
+/** Returns when the run must have ended if its worker doesn't answer. */
+instant
+latest_end(scheduler const& s, worker_record const& w, run_record const& run)
+{
+    if (run.reported)
+    {
+        return w.lease_end;
+    }
+    // An incarnation that the placer doesn't know of may have taken the start
+    // and extended the lease with any order since.
+    return std::max(w.lease_end, w.lease_sent_at + longest_lease(s));
+}
+
+/** Drops the runs that must have ended because the lease has expired. */
+void drop_lapsed_runs(scheduler& s, worker_record& w)
 {
-    while (!w.runs.empty())
+    std::vector<task_ref> lapsed;
+    for (auto const& entry : w.runs)
+    {
+        if (latest_end(s, w, entry.second) < s.now)
+        {
+            lapsed.push_back(entry.first);
+        }
+    }
+    for (task_ref const& task : lapsed)
     {
-        drop_run(s, w, w.runs.begin()->first, why);
+        drop_run(s, w, task, "lease_lapsed");
     }
 }
 
@@ -64,6 +93,7 @@
     {
         return;
     }
+    record.reported = true;
     if (record.phase == run_phase::starting)
     {
         record.phase = run_phase::running;
@@ -230,6 +260,7 @@
     milliseconds const slow(static_cast<std::int64_t>(
         static_cast<double>(span.count()) * clock_drift_factor));
     w.lease_end = std::max(w.lease_end, w.clock_read_at + slow + lease_margin);
+    w.lease_sent_at = s.now;
     return w.clock_ms + span.count();
 }
 
@@ -317,6 +348,8 @@
     {
         w.synced = true;
         w.next_poll = s.now;
+        // Before it, orders with another token may have extended the lease.
+        w.lease_end = std::max(w.lease_end, s.now + longest_lease(s));
         s.placement_due = true;
     }
     for (finished_run const& end : answer.report.finished)
@@ -393,7 +426,7 @@
         worker_record& w = entry.second;
         if (!w.runs.empty() && w.lease_end < s.now)
         {
-            drop_all_runs(s, w, "lease_lapsed");
+            drop_lapsed_runs(s, w);
         }
     }
     check_settled(s);
--- a/libs/batch/tests/cell_model.cpp
+++ b/libs/batch/tests/cell_model.cpp
@@ -90,7 +90,7 @@
     std::size_t const any = this->random() % this->workers.size();
     if (this->chance(this->settings.injected.crashes * share))
     {
-        this->workers[any]->crash(this->next_incarnation++);
+        this->workers[any]->crash(this->now, this->next_incarnation++);
         worker_offer const offer = this->workers[any]->offer;
         this->at(milliseconds{500 + this->random() % 3000},
                  [this, offer]
@@ -139,7 +139,7 @@
 void cell_model::replace_worker(std::size_t which)
 {
     worker_offer offer = this->workers[which]->offer;
-    this->workers[which]->crash(0);
+    this->workers[which]->crash(this->now, 0);
     this->removed_workers.push_back(std::move(this->workers[which]));
     std::string const old = offer.id;
     offer.id = old + "x";
--- a/libs/batch/tests/placing_test.cpp
+++ b/libs/batch/tests/placing_test.cpp
@@ -211,6 +211,77 @@
     EXPECT_EQ(this->roster_call.changes.size(), 1u);
 }
 
+struct silent_worker_case
+{
+    char const* name;
+    bool reported;  //!< a report has listed the run before the silence
+    bool restarted; //!< so does a new incarnation, before the silence
+    int silent_ms;
+    int runs; //!< that the scheduler still takes for active
+};
+
+/** A worker that has answered polls for longer than any lease, gets a task and
+ * then doesn't answer any more. */
+class silent_worker : public one_worker,
+                      public testing::WithParamInterface<silent_worker_case>
+{
+protected:
+    void answer(worker_report const& report)
+    {
+        this->feed(poll_answered{"w1", this->token, this->now, report});
+    }
+};
+
+// Guards against a task that is started elsewhere while it runs: an incarnation
+// of the worker that the scheduler doesn't know of took the start, whose
+// deadline was computed from the clock of an earlier incarnation.
+TEST_P(silent_worker, keeps_a_run_as_long_as_any_incarnation_may_hold_its_lease)
+{
+    worker_report report;
+    for (report.clock_ms = 0; report.clock_ms < 11'000; report.clock_ms += 500)
+    {
+        this->now += milliseconds{480};
+        this->answer(report);
+    }
+    this->submit("a");
+    ASSERT_EQ(this->starts, 1);
+    this->feed(start_answered{"w1",
+                              this->last.task,
+                              this->last.run,
+                              this->token,
+                              order_outcome::done});
+    report.active.push_back({this->last.task, this->last.run, ""});
+    if (GetParam().reported)
+    {
+        this->answer(report);
+    }
+    if (GetParam().restarted)
+    {
+        report.incarnation = 5;
+        report.clock_ms = 100;
+        this->answer(report); // raises the token
+        this->answer(report);
+    }
+    this->now += milliseconds{GetParam().silent_ms};
+    this->feed(time_passed{});
+    EXPECT_EQ(usage_of(*this->scheduler, "w1")->runs, GetParam().runs);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    cases,
+    silent_worker,
+    testing::Values(
+        silent_worker_case{"reported_within_its_lease", true, false, 5900, 1},
+        silent_worker_case{"reported_after_its_lease", true, false, 6500, 0},
+        silent_worker_case{"not_reported_after_6_s", false, false, 6500, 1},
+        silent_worker_case{"not_reported_after_10_s", false, false, 10'600, 0},
+        silent_worker_case{"restarted_after_6_s", false, true, 6500, 1},
+        silent_worker_case{"restarted_after_10_s", false, true, 10'600, 0}),
+    [](testing::TestParamInfo<silent_worker_case> const& info)
+    {
+        return std::string(info.param.name);
+    });
+
 TEST_F(one_worker, gets_nothing_while_a_run_of_unknown_size_is_active)
 {
     worker_report report;
--- a/libs/batch/tests/worker_model.cpp
+++ b/libs/batch/tests/worker_model.cpp
@@ -5,6 +5,15 @@
 namespace cicada::batch::model
 {
 
+namespace
+{
+
+/** By the worker's clock, whatever deadline an order carries. */
+constexpr std::int64_t lease_limit_ms =
+    scheduler_settings{}.lease_limit.count();
+
+} // namespace
+
 worker_model::worker_model(worker_offer const& given, checker& checked_by)
     : offer(given), invariants(checked_by)
 {
@@ -12,7 +21,7 @@
 
 std::int64_t worker_model::clock(instant now) const
 {
-    return now.time_since_epoch().count() * 98 / 100;
+    return (now - this->life_began).count() * 98 / 100;
 }
 
 resources worker_model::used() const
@@ -25,11 +34,13 @@
     return sum;
 }
 
-void worker_model::extend(std::optional<std::int64_t> until)
+void worker_model::extend(instant now, std::optional<std::int64_t> until)
 {
     if (until)
     {
-        this->lease_until = std::max(this->lease_until, *until);
+        this->lease_until =
+            std::max(this->lease_until,
+                     std::min(*until, this->clock(now) + lease_limit_ms));
     }
 }
 
@@ -63,7 +74,7 @@
     {
         return order_outcome::refused;
     }
-    this->extend(order.lease_until);
+    this->extend(now, order.lease_until);
     this->runs[order.task] = {
         order.run, shape.size, work, fails, shape.gang, now, {}};
     this->invariants.started(now,
@@ -109,7 +120,7 @@
     }
     this->token = order.token;
     this->note_lapse(now);
-    this->extend(order.lease_until);
+    this->extend(now, order.lease_until);
     for (finished_run const& end : this->ends)
     {
         if (end.number <= order.acknowledged && end.number > this->lapsed_ends)
@@ -152,7 +163,7 @@
     this->invariants.ended(task, run, this->offer.id, how);
 }
 
-void worker_model::crash(std::int64_t incarnation)
+void worker_model::crash(instant now, std::int64_t incarnation)
 {
     for (auto const& entry : this->runs)
     {
@@ -165,6 +176,7 @@
     this->next_end = 1;
     this->lapsed_ends = 0;
     this->token = 0;
+    this->life_began = now;
     this->lease_until = 0;
     this->offer.incarnation = incarnation;
 }
--- a/libs/batch/tests/worker_model.hpp
+++ b/libs/batch/tests/worker_model.hpp
@@ -38,8 +38,9 @@
     /** Returns nullopt if the token is too low. */
     std::optional<worker_report> poll(instant now, poll_worker const& order);
 
-    /** Loses all runs and ends, and restarts as this incarnation. */
-    void crash(std::int64_t incarnation);
+    /** Loses all runs and ends, and restarts as this incarnation, whose clock
+     * starts at 0. */
+    void crash(instant now, std::int64_t incarnation);
 
     /** Advances the runs by `span`. Ends the finished ones, or all of them if
      * the lease has expired. */
@@ -56,11 +57,13 @@
     std::size_t ends_per_report = 500;
 
 private:
-    void extend(std::optional<std::int64_t> until);
+    /** Extends the lease, by no more than the worker's limit from now on. */
+    void extend(instant now, std::optional<std::int64_t> until);
     void note_lapse(instant now);
     resources used() const;
 
     checker& invariants;
+    instant life_began;
     std::int64_t lease_until = 0;
     std::uint64_t next_end = 1;
     std::uint64_t lapsed_ends = 0; //!< ends up to here precede a lapsed lease
--- a/libs/cell/src/placer.cpp
+++ b/libs/cell/src/placer.cpp
@@ -219,7 +219,8 @@
     this->log_records(stored, progress, roster);
     batch::scheduler_settings settings;
     settings.epoch = this->epoch;
-    settings.lease = std::min(max_lease, this->shared.settings.lease_limit);
+    settings.lease_limit = this->shared.settings.lease_limit;
+    settings.lease = std::min(max_lease, settings.lease_limit);
     this->scheduler = batch::make_scheduler(settings, this->shared.now());
     std::map<std::string, std::pair<batch::job_progress, std::int64_t>>
         progress_by_job;
