Use a worker only by the entry of its present incarnation

What callers saw: tasks ran on a kind of worker that they don't allow (ROUTE), and could have exceeded a smaller worker's capacity.

Cause: after a restart under the same id, polls tell of the new incarnation before its entry is written. The worker was usable by the labels and the capacity of the entry of the former one. It also stayed usable for 2 s after a failed poll, the first sign of a restart.

Change: usable() compares the incarnation of the entry with that of the polls and leaves out workers whose last poll failed; an answer after a failure triggers a placement pass.

Why it works: nothing is placed by an entry whose incarnation isn't the one that has answered.

Evidence: both new tests of one_worker failed before.

--- a/libs/batch/src/workers.cpp
+++ b/libs/batch/src/workers.cpp
@@ -247,8 +247,13 @@
 
 bool usable(scheduler const& s, worker_record const& w)
 {
-    return w.listed && w.synced && !w.offer.draining && is_recorded(w) &&
-           w.unknown_sizes == 0 && w.avoid_until <= s.now &&
+    // The entry of an earlier incarnation may name another kind and capacity.
+    // Entries without an incarnation hold for any.
+    bool const current_offer =
+        w.offer.incarnation == 0 || w.offer.incarnation == w.incarnation;
+    return w.listed && w.synced && current_offer && !w.offer.draining &&
+           is_recorded(w) && w.unknown_sizes == 0 && !w.unresponsive &&
+           w.avoid_until <= s.now &&
            s.now < w.clock_read_at + s.settings.poll_wait * 2;
 }
 
@@ -324,6 +329,7 @@
     }
     worker_record& w = found->second;
     w.poll_pending = false;
+    s.placement_due = s.placement_due || w.unresponsive;
     w.unresponsive = false;
     if (answer.report.incarnation < w.incarnation)
     {
--- a/libs/batch/tests/placing_test.cpp
+++ b/libs/batch/tests/placing_test.cpp
@@ -54,6 +54,13 @@
         }
     }
 
+    /** Answers the poll that is due. */
+    void answer(worker_report const& report)
+    {
+        this->feed(time_passed{});
+        this->feed(poll_answered{"w1", this->token, this->now, report});
+    }
+
     void submit(std::string const& id)
     {
         job made;
@@ -211,6 +218,43 @@
     EXPECT_EQ(this->roster_call.changes.size(), 1u);
 }
 
+// Guards against starts by the labels and the capacity that a worker had before
+// it restarted as another kind.
+TEST_F(one_worker, gets_nothing_by_the_entry_of_its_former_incarnation)
+{
+    worker_offer offer;
+    offer.id = "w1";
+    offer.service = "s";
+    offer.where = {"127.0.0.1", 1};
+    offer.capacity = {32'000, 65'536, 0};
+    offer.incarnation = 1;
+    worker_report report;
+    report.incarnation = 1;
+    this->feed(worker_listed{offer});
+    this->answer(report);
+    this->answer(report);
+    ASSERT_TRUE(usage_of(*this->scheduler, "w1")->usable);
+    report.incarnation = 2;
+    this->answer(report);
+    this->answer(report);
+    this->submit("a");
+    EXPECT_EQ(this->starts, 0);
+    offer.incarnation = 2;
+    this->feed(worker_listed{offer});
+    EXPECT_EQ(this->starts, 1);
+}
+
+// Guards against a start that reaches an incarnation which the scheduler
+// doesn't know of: the poll of the former one has failed.
+TEST_F(one_worker, gets_nothing_until_it_answers_after_a_failed_poll)
+{
+    this->feed(poll_failed{"w1", order_outcome::unknown, this->token});
+    this->submit("a");
+    EXPECT_EQ(this->starts, 0);
+    this->feed(poll_answered{"w1", this->token, this->now, {}});
+    EXPECT_EQ(this->starts, 1);
+}
+
 struct silent_worker_case
 {
     char const* name;
@@ -225,11 +269,6 @@
 class silent_worker : public one_worker,
                       public testing::WithParamInterface<silent_worker_case>
 {
-protected:
-    void answer(worker_report const& report)
-    {
-        this->feed(poll_answered{"w1", this->token, this->now, report});
-    }
 };
 
 // Guards against a task that is started elsewhere while it runs: an incarnation
@@ -240,7 +279,7 @@
     worker_report report;
     for (report.clock_ms = 0; report.clock_ms < 11'000; report.clock_ms += 500)
     {
-        this->now += milliseconds{480};
+        this->now += milliseconds{460};
         this->answer(report);
     }
     this->submit("a");
