Visit the steps behind the first 150 in turn

Cause: a pass visited the first 150 waiting steps of the order. Steps that can't be placed keep their positions, so 150 of them, here of a kind of worker that was lost, kept all later ones from being looked at.

Ruled out: admission (the jobs were accepted and known), usability of the seven workers (they run other kinds' jobs in the same seconds).

Change: each pass over all steps also visits 50 of the later ones, in turn.

--- a/libs/batch/src/placing.cpp
+++ b/libs/batch/src/placing.cpp
@@ -13,6 +13,9 @@
  * no start later than 2 s after it announces that it drains. */
 constexpr milliseconds max_list_lag{1500};
 constexpr std::size_t max_steps_per_pass = 150; //!< limits a pass's time
+/** Of the steps after those, a pass over all steps visits this many in turn:
+ * steps that can't be placed must not hide the ones behind them. */
+constexpr std::size_t max_later_steps_per_pass = 50;
 /** Interval of passes over all steps; the other passes place only steps of the
  * first rank. In a burst tens of wide steps wait, and visiting them in every
  * pass would delay the urgent ones. */
@@ -129,6 +132,39 @@
     request_more_advice(s, step, std::move(found.expired), std::move(unasked));
 }
 
+void place_step(scheduler& s, waiting_step const& step, free_capacity& capacity)
+{
+    if (step.shape().gang)
+    {
+        place_gang(s, step, capacity);
+    }
+    else
+    {
+        place_single(s, step, capacity);
+    }
+}
+
+/** Places some of the steps from `first` on, and the following ones in the next
+ * call. */
+void place_later_steps(scheduler& s,
+                       std::vector<waiting_step> const& steps,
+                       std::size_t first,
+                       free_capacity& capacity)
+{
+    if (first >= steps.size())
+    {
+        return;
+    }
+    std::size_t const later = steps.size() - first;
+    std::size_t const count = std::min(later, max_later_steps_per_pass);
+    for (std::size_t i = 0; i < count; ++i)
+    {
+        place_step(
+            s, steps[first + (s.later_steps_visited + i) % later], capacity);
+    }
+    s.later_steps_visited = (s.later_steps_visited + count) % later;
+}
+
 } // namespace
 
 milliseconds visit_interval(scheduler const& s)
@@ -164,16 +200,13 @@
     {
         if (!whole && steps[i].rank > steps.front().rank)
         {
-            break;
-        }
-        if (steps[i].shape().gang)
-        {
-            place_gang(s, steps[i], capacity);
-        }
-        else
-        {
-            place_single(s, steps[i], capacity);
+            return;
         }
+        place_step(s, steps[i], capacity);
+    }
+    if (whole)
+    {
+        place_later_steps(s, steps, most, capacity);
     }
 }
 
--- a/libs/batch/src/state.hpp
+++ b/libs/batch/src/state.hpp
@@ -211,6 +211,9 @@
     bool placement_due = false;
     instant next_placement;
     instant next_full_pass; //!< next pass over steps of all ranks
+    /** Of the steps after the first max_steps_per_pass, how many the passes
+     * over all steps have visited since they last began with the first one. */
+    std::size_t later_steps_visited = 0;
     milliseconds list_lag{0};
     std::vector<effect> effects;
 };
--- a/libs/batch/tests/placing_test.cpp
+++ b/libs/batch/tests/placing_test.cpp
@@ -61,7 +61,7 @@
         this->feed(poll_answered{"w1", this->token, this->now, report});
     }
 
-    void submit(std::string const& id)
+    static job make_job(std::string const& id)
     {
         job made;
         made.id = id;
@@ -72,7 +72,12 @@
         only.size = {1000, 100, 0};
         only.estimate = milliseconds{500};
         made.steps.push_back(only);
-        this->feed(job_stored{made, {}, 0});
+        return made;
+    }
+
+    void submit(std::string const& id)
+    {
+        this->feed(job_stored{make_job(id), {}, 0});
     }
 
     instant now{milliseconds{10'000}};
@@ -129,6 +134,57 @@
                                          list_case{1900, 0},
                                          list_case{60'000, 0}));
 
+struct stuck_case
+{
+    char const* name;
+    char const* required_label;
+    int memory_mib;
+    bool gang;
+};
+
+class steps_that_do_not_fit : public one_worker,
+                              public testing::WithParamInterface<stuck_case>
+{
+};
+
+// Guards against accepted jobs that never start beside idle workers, since each
+// pass looks only at steps before them in the order, which can't be placed.
+TEST_P(steps_that_do_not_fit, do_not_hide_later_steps)
+{
+    constexpr int stuck_jobs = 400;
+    for (int i = 0; i < stuck_jobs; ++i)
+    {
+        job stuck = make_job("stuck" + std::to_string(i));
+        stuck.queue.target = milliseconds{60'000};
+        stuck.steps[0].required_label = GetParam().required_label;
+        stuck.steps[0].size.memory_mib = GetParam().memory_mib;
+        stuck.steps[0].gang = GetParam().gang;
+        this->feed(job_stored{stuck, {}, 0});
+        this->answer({});
+    }
+    ASSERT_EQ(this->starts, 0);
+    job later = make_job("later");
+    later.queue.priority = 2;
+    this->feed(job_stored{later, {}, 0});
+    instant const limit = this->now + milliseconds{1000};
+    while (this->starts == 0 && this->now < limit)
+    {
+        this->answer({});
+    }
+    EXPECT_EQ(this->last.task.job, "later");
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    reasons,
+    steps_that_do_not_fit,
+    testing::Values(stuck_case{"lost_kind", "gone", 100, false},
+                    stuck_case{"too_much_memory", "", 70'000, false},
+                    stuck_case{"gang_of_a_lost_kind", "gone", 100, true}),
+    [](testing::TestParamInfo<stuck_case> const& info)
+    {
+        return std::string(info.param.name);
+    });
+
 TEST(worker_location, round_trips)
 {
     address const where{"10.1.0.13", 8161};
