Withhold capacity only for calls for advice that are made

What callers saw: nothing yet outside a test. Found as a relative of the hidden steps: jobs that need no advice would stay queued beside idle workers while a queue that does has a backlog.

Cause: a step withheld capacity on the workers that it wanted advice about, also when every daemon was too busy to ask. 400 such steps held the whole fleet.

Change: call_advisor says whether it made the call; capacity is withheld only then, and as before while the call is pending.

--- a/libs/batch/src/advice.cpp
+++ b/libs/batch/src/advice.cpp
@@ -90,7 +90,7 @@
            (prior_weight + seen.asked);
 }
 
-void call_advisor(scheduler& s,
+bool call_advisor(scheduler& s,
                   job_record& j,
                   int step,
                   std::vector<worker_record const*> const& workers,
@@ -99,7 +99,7 @@
     step_record& record = j.steps[static_cast<std::size_t>(step)];
     if (!may_call_advisor(s, record))
     {
-        return;
+        return false;
     }
     advice_terms const& terms = *j.accepted.queue.advice;
     double const cost =
@@ -108,7 +108,7 @@
     auto const requester = choose_requester(s, cost > long_call_ms, late);
     if (requester == s.requesters.end())
     {
-        return;
+        return false;
     }
     milliseconds const span(static_cast<std::int64_t>(std::ceil(cost)));
     requester->second.free_at =
@@ -129,6 +129,7 @@
     call.expected = std::chrono::duration_cast<milliseconds>(
         requester->second.free_at - s.now);
     s.effects.emplace_back(std::move(call));
+    return true;
 }
 
 void handle_advice(scheduler& s, advice_answered const& answer)
--- a/libs/batch/src/capacity.cpp
+++ b/libs/batch/src/capacity.cpp
@@ -232,6 +232,7 @@
 
 void request_more_advice(scheduler& s,
                          waiting_step const& step,
+                         free_capacity& capacity_left,
                          std::vector<candidate> allowed,
                          std::vector<candidate> unasked)
 {
@@ -244,7 +245,6 @@
         (step.shape().gang ? gang_capacity_factor : capacity_factor);
     advice_terms const& terms = *step.j->accepted.queue.advice;
     double const cheap = terms.decision_ms * cheap_time_share;
-    int to_withhold = withheld_workers(step);
     auto const request = [&](candidate const& c, double likely)
     {
         bool const enough =
@@ -257,10 +257,6 @@
         named.push_back(c.worker->w);
         capacity += likely * c.capacity;
         workers += likely;
-        if (to_withhold-- > 0)
-        {
-            c.worker->free = c.worker->free - step.shape().size;
-        }
     };
     std::sort(allowed.begin(), allowed.end(), has_more_capacity);
     std::sort(unasked.begin(), unasked.end(), has_more_capacity);
@@ -272,9 +268,10 @@
     {
         request(c, share);
     }
-    if (!named.empty())
+    // A step that can't ask yet may wait for long: others use the capacity.
+    if (!named.empty() && call_advisor(s, *step.j, step.step, named, step.late))
     {
-        call_advisor(s, *step.j, step.step, named, step.late);
+        withhold_requested_capacity(step, capacity_left);
     }
 }
 
--- a/libs/batch/src/gangs.cpp
+++ b/libs/batch/src/gangs.cpp
@@ -234,7 +234,7 @@
     allowed.insert(allowed.end(), found.ready.begin(), found.ready.end());
     if (total_capacity(allowed) >= step.shape().count)
     {
-        request_more_advice(s, step, std::move(allowed), {});
+        request_more_advice(s, step, capacity, std::move(allowed), {});
         return;
     }
     if (found.with_advice >= capacity.workers.size())
@@ -253,7 +253,7 @@
     if (!with_capacity.empty())
     {
         request_more_advice(
-            s, step, std::move(allowed), std::move(with_capacity));
+            s, step, capacity, std::move(allowed), std::move(with_capacity));
     }
     else if (!allowed_suffice(step, capacity))
     {
@@ -261,7 +261,7 @@
         {
             each.capacity = idle_capacity(step, *each.worker);
         }
-        request_more_advice(s, step, {}, std::move(unasked));
+        request_more_advice(s, step, capacity, {}, std::move(unasked));
     }
 }
 
--- a/libs/batch/src/placing.cpp
+++ b/libs/batch/src/placing.cpp
@@ -129,7 +129,8 @@
     {
         unasked = candidates_without_advice(step, capacity);
     }
-    request_more_advice(s, step, std::move(found.expired), std::move(unasked));
+    request_more_advice(
+        s, step, capacity, std::move(found.expired), std::move(unasked));
 }
 
 void place_step(scheduler& s, waiting_step const& step, free_capacity& capacity)
--- a/libs/batch/src/placing.hpp
+++ b/libs/batch/src/placing.hpp
@@ -96,10 +96,11 @@
  * Requests advice on as many workers as the step's waiting tasks are expected
  * to need. Workers in `allowed` count in full; those in `unasked` count by the
  * share of workers that the queue was allowed so far. Withholds the capacity
- * of the requested workers unless the step is a gang.
+ * of the requested workers if the call is made, unless the step is a gang.
  */
 void request_more_advice(scheduler& s,
                          waiting_step const& step,
+                         free_capacity& capacity_left,
                          std::vector<candidate> allowed,
                          std::vector<candidate> unasked);
 
--- a/libs/batch/src/state.hpp
+++ b/libs/batch/src/state.hpp
@@ -305,8 +305,9 @@
 
 // ---- advice.cpp
 
-/** Requests advice on the workers, unless every requester is too busy. */
-void call_advisor(scheduler& s,
+/** Requests advice on the workers. Returns false if no call is made: one is
+ * pending, or every requester is too busy. */
+bool call_advisor(scheduler& s,
                   job_record& j,
                   int step,
                   std::vector<worker_record const*> const& workers,
--- a/libs/batch/tests/placing_test.cpp
+++ b/libs/batch/tests/placing_test.cpp
@@ -139,6 +139,7 @@
     char const* name;
     char const* required_label;
     int memory_mib;
+    bool advised; //!< no daemon can make the calls for advice
     bool gang;
 };
 
@@ -159,6 +160,10 @@
         stuck.steps[0].required_label = GetParam().required_label;
         stuck.steps[0].size.memory_mib = GetParam().memory_mib;
         stuck.steps[0].gang = GetParam().gang;
+        if (GetParam().advised)
+        {
+            stuck.queue.advice = advice_terms{};
+        }
         this->feed(job_stored{stuck, {}, 0});
         this->answer({});
     }
@@ -177,9 +182,11 @@
 INSTANTIATE_TEST_SUITE_P(
     reasons,
     steps_that_do_not_fit,
-    testing::Values(stuck_case{"lost_kind", "gone", 100, false},
-                    stuck_case{"too_much_memory", "", 70'000, false},
-                    stuck_case{"gang_of_a_lost_kind", "gone", 100, true}),
+    testing::Values(stuck_case{"lost_kind", "gone", 100, false, false},
+                    stuck_case{"too_much_memory", "", 70'000, false, false},
+                    stuck_case{"no_advice", "", 100, true, false},
+                    stuck_case{
+                        "gang_of_a_lost_kind", "gone", 100, false, true}),
     [](testing::TestParamInfo<stuck_case> const& info)
     {
         return std::string(info.param.name);
