Reserve workers only for a gang that fits on idle ones

Cause: reserve_workers() reserved the workers that become free first until their cores add up to the gang. After the loss of a worker they never did, so each pass reserved all of them, until the gang was late. It counted cores only: a gang that lacks memory, accelerators or workers did the same.

Ruled out: the advisor (the gang's queue needs none), the limit of 150 steps (some 20 wait).

Change: nothing is reserved unless the gang fits on the possible workers if they were idle, by all sizes and limits; members are counted so for each worker.

Why it works: what a gang that can't start holds back is nothing; one that can start holds back what it did before.

--- a/libs/batch/src/capacity.cpp
+++ b/libs/batch/src/capacity.cpp
@@ -230,6 +230,25 @@
     return found;
 }
 
+std::vector<worker_view*> possible_workers(waiting_step const& step,
+                                           free_capacity& capacity)
+{
+    std::vector<worker_view*> found = allowed_workers(step, capacity);
+    if (!step.j->accepted.queue.advice)
+    {
+        return found;
+    }
+    auto const& advice = step.record().advice;
+    for (worker_view& worker : capacity.workers)
+    {
+        if (advice.count(worker.w->number) == 0 && is_eligible(*worker.w, step))
+        {
+            found.push_back(&worker);
+        }
+    }
+    return found;
+}
+
 void request_more_advice(scheduler& s,
                          waiting_step const& step,
                          free_capacity& capacity_left,
--- a/libs/batch/src/gangs.cpp
+++ b/libs/batch/src/gangs.cpp
@@ -109,13 +109,32 @@
     return ready;
 }
 
-/** Reserves for a waiting gang the workers that become free first. */
+/** Returns how many members fit on the worker if it is otherwise idle. */
+int idle_capacity(waiting_step const& step, worker_view const& worker)
+{
+    worker_view empty = worker;
+    empty.free = worker.w->offer.capacity;
+    return tasks_that_fit(empty, step);
+}
+
+/** Returns whether the gang fits if all workers that may run it are idle. */
+bool fits_on_idle_workers(waiting_step const& step, free_capacity& capacity)
+{
+    int members = 0;
+    for (worker_view const* each : possible_workers(step, capacity))
+    {
+        members += idle_capacity(step, *each);
+    }
+    return members >= step.shape().count;
+}
+
+/** Reserves for a waiting gang the workers that become free first, unless it
+ * doesn't fit even on idle ones. */
 void reserve_workers(scheduler& s,
                      waiting_step const& step,
                      free_capacity& capacity)
 {
-    task_step const& shape = step.shape();
-    if (shape.size.milli_cores <= 0)
+    if (!fits_on_idle_workers(step, capacity))
     {
         return;
     }
@@ -129,23 +148,21 @@
                              : left < right;
               });
     bool const urgent = step.latest_start < s.now + gang_preemption_slack;
-    std::int64_t tasks = 0;
+    int missing = step.shape().count;
     for (worker_view* each : allowed)
     {
-        if (each->reserved)
+        if (missing == 0)
         {
-            continue;
+            return;
         }
-        if (tasks >= shape.count)
+        int const here = std::min(missing, idle_capacity(step, *each));
+        if (each->reserved || here == 0)
         {
-            return;
+            continue;
         }
-        int const here = static_cast<int>(std::min(
-            shape.count - tasks,
-            each->w->offer.capacity.milli_cores / shape.size.milli_cores));
-        tasks += here;
+        missing -= here;
         each->reserved = true;
-        if (urgent && here > 0)
+        if (urgent)
         {
             preempt_on(s, *each, step, here);
         }
@@ -197,14 +214,6 @@
     }
 }
 
-/** Returns how many members fit on the worker if it is otherwise idle. */
-int idle_capacity(waiting_step const& step, worker_view const& worker)
-{
-    worker_view empty = worker;
-    empty.free = worker.w->offer.capacity;
-    return tasks_that_fit(empty, step);
-}
-
 /** Returns whether the gang fits on the allowed workers if they are idle. */
 bool allowed_suffice(waiting_step const& step, free_capacity& capacity)
 {
--- a/libs/batch/src/placing.hpp
+++ b/libs/batch/src/placing.hpp
@@ -92,6 +92,11 @@
 std::vector<worker_view*> allowed_workers(waiting_step const& step,
                                           free_capacity& capacity);
 
+/** Returns the allowed workers and those that the advisor hasn't answered for.
+ */
+std::vector<worker_view*> possible_workers(waiting_step const& step,
+                                           free_capacity& capacity);
+
 /**
  * Requests advice on as many workers as the step's waiting tasks are expected
  * to need. Workers in `allowed` count in full; those in `unasked` count by the
--- a/libs/batch/tests/placing_test.cpp
+++ b/libs/batch/tests/placing_test.cpp
@@ -185,13 +185,62 @@
     testing::Values(stuck_case{"lost_kind", "gone", 100, false, false},
                     stuck_case{"too_much_memory", "", 70'000, false, false},
                     stuck_case{"no_advice", "", 100, true, false},
-                    stuck_case{
-                        "gang_of_a_lost_kind", "gone", 100, false, true}),
+                    stuck_case{"gang_of_a_lost_kind", "gone", 100, false, true},
+                    stuck_case{"gang_too_large", "", 70'000, false, true}),
     [](testing::TestParamInfo<stuck_case> const& info)
     {
         return std::string(info.param.name);
     });
 
+struct gang_case
+{
+    char const* name;
+    int members;
+    resources size;
+    int per_worker;
+    int starts; //!< of the later job, while the gang waits
+};
+
+class waiting_gang : public one_worker,
+                     public testing::WithParamInterface<gang_case>
+{
+};
+
+// Guards against accepted jobs that never start beside idle workers, since a
+// gang that can't be placed on them reserves them.
+TEST_P(waiting_gang, reserves_workers_only_if_it_fits_on_them)
+{
+    job running = make_job("running");
+    running.steps[0].size = {30'000, 100, 0};
+    this->feed(job_stored{running, {}, 0});
+    ASSERT_EQ(this->starts, 1);
+    job gang = make_job("gang");
+    gang.queue.target = milliseconds{60'000};
+    gang.steps[0].gang = true;
+    gang.steps[0].count = GetParam().members;
+    gang.steps[0].size = GetParam().size;
+    gang.steps[0].per_worker = GetParam().per_worker;
+    this->feed(job_stored{gang, {}, 0});
+    job later = make_job("later");
+    later.queue.priority = 2;
+    this->feed(job_stored{later, {}, 0});
+    this->answer({});
+    EXPECT_EQ(this->starts - 1, GetParam().starts);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    sizes,
+    waiting_gang,
+    testing::Values(gang_case{"that_fits", 4, {8000, 100, 0}, 0, 0},
+                    gang_case{"too_many_cores", 5, {8000, 100, 0}, 0, 1},
+                    gang_case{"too_much_memory", 4, {8000, 20'000, 0}, 0, 1},
+                    gang_case{"no_accelerators", 4, {8000, 100, 1}, 0, 1},
+                    gang_case{"too_many_per_worker", 4, {8000, 100, 0}, 3, 1}),
+    [](testing::TestParamInfo<gang_case> const& info)
+    {
+        return std::string(info.param.name);
+    });
+
 TEST(worker_location, round_trips)
 {
     address const where{"10.1.0.13", 8161};
