Read numbers and rows of other processes with their range and type

Here no entry did, but entries whose numbers don't fit were taken for workers of any capacity; and a worker's report or an advisor's answer with an object in place of a row ended the process by an exception.

Cause: rows were indexed and numbers converted without asking for their type and range.

Why it works: nothing is indexed or converted before its type and range are known.

--- a/libs/cell/src/keys.cpp
+++ b/libs/cell/src/keys.cpp
@@ -30,13 +30,20 @@
     {
         return std::nullopt;
     }
-    membership::member out;
-    out.name = name;
-    out.link.host = from.value("host", "");
-    out.link.port = from.value("port", std::uint16_t{0});
-    out.incarnation = from.value("incarnation", std::uint64_t{0});
-    out.milli_cores = from.value("milli_cores", 0);
-    return out;
+    try
+    {
+        membership::member out;
+        out.name = name;
+        out.link.host = from.value("host", "");
+        out.link.port = from.value("port", std::uint16_t{0});
+        out.incarnation = from.value("incarnation", std::uint64_t{0});
+        out.milli_cores = from.value("milli_cores", 0);
+        return out;
+    }
+    catch (json::exception const&)
+    {
+        return std::nullopt; // a field of another type
+    }
 }
 
 std::optional<membership::placer_claim> decode_claim(std::string const& bytes)
@@ -46,9 +53,17 @@
     {
         return std::nullopt;
     }
-    return membership::placer_claim{from.value("name", ""),
-                                    from.value("incarnation", std::uint64_t{0}),
-                                    from.value("epoch", std::uint64_t{0})};
+    try
+    {
+        return membership::placer_claim{
+            from.value("name", ""),
+            from.value("incarnation", std::uint64_t{0}),
+            from.value("epoch", std::uint64_t{0})};
+    }
+    catch (json::exception const&)
+    {
+        return std::nullopt; // a field of another type
+    }
 }
 
 } // namespace
--- a/libs/cell/src/placer.cpp
+++ b/libs/cell/src/placer.cpp
@@ -442,8 +442,10 @@
             platform::decode_offer(id, item->second.value);
         if (!offer.has_value())
         {
+            // It may have replaced the entry of a worker that was listed.
             this->shared.log_event(events::worker_entry_rejected,
                                    describe(offer.assume_error()));
+            this->step_scheduler(batch::worker_unlisted{id});
             continue;
         }
         this->step_scheduler(
--- a/libs/cell/tests/cell_test.cpp
+++ b/libs/cell/tests/cell_test.cpp
@@ -148,7 +148,15 @@
     std::map<std::string, platform::kv_item> items;
     membership::member const one{"d1", {"127.0.0.1", 9}, 4, 120};
     items["cell/daemon/d1"] = {"cell/daemon/d1", encode_member(one), 3, 0};
-    items["cell/daemon/d2"] = {"cell/daemon/d2", "?", 3, 0};
+    for (char const* value : {"?",
+                              R"({"host":7})",
+                              R"({"host":"h","port":"x"})",
+                              R"({"host":"h","port":1,"incarnation":[]})"})
+    {
+        std::string const key =
+            "cell/daemon/odd" + std::to_string(items.size());
+        items[key] = {key, value, 3, 0};
+    }
     items["cell/epoch"] = {"cell/epoch", "12", 8, 0};
     items["cell/placer"] = {"cell/placer", encode_claim({"d1", 4, 12}), 8, 0};
     membership::cell_view const view = decode_view(items);
@@ -156,6 +164,8 @@
     EXPECT_EQ(view.epoch, 12u);
     EXPECT_EQ(view.epoch_revision, 8);
     EXPECT_EQ(view.placer->epoch, 12u);
+    items["cell/placer"].value = R"({"name":"d1","epoch":"x"})";
+    EXPECT_FALSE(decode_view(items).placer);
 }
 
 struct conflict_case
--- a/libs/soak/src/soak.cpp
+++ b/libs/soak/src/soak.cpp
@@ -96,6 +96,7 @@
         }
         this->store.put("op/config",
                         standin::encode_config(this->clients->config()));
+        this->put_foreign_entries();
         this->faults = std::make_unique<trouble>(this->shared,
                                                  targets{*this->daemons,
                                                          *this->clients,
@@ -105,6 +106,27 @@
         return this->daemons->start();
     }
 
+    /** Another writer's entries in the list of workers. */
+    void put_foreign_entries()
+    {
+        constexpr std::size_t levels = 100'000;
+        std::string const common =
+            R"("service":"svc","zone":"z","state":"ready","labels":["a","r1"],)";
+        std::vector<std::string> const entries{
+            std::string("\xff\x00", 2),
+            std::string(levels, '[') + std::string(levels, ']'),
+            "{" + common +
+                R"("address":"127.0.0.1:65536","capacity":{"cpu":1}})",
+            "{" + common +
+                R"("address":"127.0.0.1:1","capacity":{"cpu":1e30}})",
+            "{" + common +
+                R"("address":"127.0.0.1:1","capacity":{"cpu":1},"born":1e30})"};
+        for (std::size_t k = 0; k < entries.size(); ++k)
+        {
+            this->store.put("servers/foreign-" + std::to_string(k), entries[k]);
+        }
+    }
+
     standin::fleet_settings fleet_of()
     {
         standin::fleet_settings out;
