Send the placer a job as it is stored, not as it was submitted again

What callers could see: a task runs twice.

Cause: a job carries the epoch of the placer that the accepting daemon knows. A placer starts jobs of its own epoch at once; for older ones it waits until all workers have answered, since a former placer may have started them. When a caller submitted a job again at another daemon, the store refused the second record, but the daemon sent its own one to the placer, with its own, higher epoch. If the first record was stored after the placer had read the store, and came from a daemon that knew only the former placer, both placers started the job.

Why it works: the epoch that decides is the one under which a placer may have learned of the job, and that is the stored one.

Evidence: caller_api_beside_a_store.sends_a_job_as_another_daemon_has_stored_it failed before.

--- a/libs/cell/src/caller_api.cpp
+++ b/libs/cell/src/caller_api.cpp
@@ -222,11 +222,14 @@
     {
         for (submission const& each : sent)
         {
-            this->accept(each, outcome.revision);
+            this->accept(each, job_message{each.record, outcome.revision});
         }
         return;
     }
-    std::map<std::string, std::int64_t> present; // 0: the job has ended
+    // The jobs as another call has stored them; none: the job has ended. Their
+    // epochs may be lower, and tell the placer whether a former one may have
+    // started them.
+    std::map<std::string, std::optional<job_message>> present;
     for (platform::kv_item const& item : outcome.found)
     {
         if (item.revision == 0 || item.deleted)
@@ -234,8 +237,15 @@
             continue;
         }
         std::string const job = keys::strip_prefix(item.key, keys::jobs);
-        present[job.empty() ? keys::strip_prefix(item.key, keys::ends) : job] =
-            job.empty() ? 0 : item.revision;
+        if (job.empty())
+        {
+            present.emplace(keys::strip_prefix(item.key, keys::ends),
+                            std::nullopt);
+        }
+        else
+        {
+            present.emplace(job, job_message{item.value, item.revision});
+        }
     }
     for (submission& each : sent)
     {
@@ -313,17 +323,25 @@
                                             "the store did not answer"));
 }
 
-void caller_api::accept(submission const& submitted, std::int64_t revision)
+void caller_api::accept(submission const& submitted,
+                        std::optional<job_message> const& stored)
 {
     this->shared.log_event(
         events::job_submitted,
         "job=" + submitted.job.id + " queue=" + submitted.job.queue.name +
             " config=" + std::to_string(this->shared.config->version) +
             " took_ms=" +
-            std::to_string((this->shared.now() - submitted.arrived).count()));
+            std::to_string((this->shared.now() - submitted.arrived).count()) +
+            " epoch=" + std::to_string(submitted.job.epoch) + " stored=" +
+            (!stored                              ? "ended"
+             : stored->record == submitted.record ? "now"
+                                                  : "earlier"));
     submitted.answer(platform::encode_accepted());
-    // If this message is lost, the placer finds the job in the store.
-    this->ports.send_to_placer(job_message{submitted.record, revision});
+    if (stored)
+    {
+        // If this message is lost, the placer finds the job in the store.
+        this->ports.send_to_placer(*stored);
+    }
 }
 
 // ---- counts
--- a/libs/cell/src/caller_api.hpp
+++ b/libs/cell/src/caller_api.hpp
@@ -94,7 +94,9 @@
     void handle_commit_reply(std::vector<submission> sent,
                              result<platform::kv_commit_result> const& reply);
     void handle_write_failure(submission submitted, error const& why);
-    void accept(submission const& submitted, std::int64_t revision);
+    /** `stored`: the job's record in the store; none: the job has ended. */
+    void accept(submission const& submitted,
+                std::optional<job_message> const& stored);
     void query(std::string const& job, http_responder const& answer);
     void query_store(std::string const& job, http_responder const& answer);
     void cancel(platform::caller_call const& call,
