Never start to place with an epoch that was used before

What callers could see: a task runs twice.

Cause: a placer that was fenced stops. If a view of the store then came that was read before its successor's claim, it showed the daemon's own key, and the daemon started a new placer with the same epoch. That one takes the jobs of its epoch for untouched and starts them at once, although the first one had.

Change: the highest epoch that the daemon has placed with is kept, also while it doesn't place; only a higher one starts a placer. A daemon that holds the key goes on claiming a new epoch, as before.

Evidence: active_placer.does_not_place_again_with_an_epoch_that_it_has_used failed before.

--- a/libs/membership/include/membership/membership.hpp
+++ b/libs/membership/include/membership/membership.hpp
@@ -214,7 +214,11 @@
     instant next_call;
     instant next_renewal;
     std::optional<std::uint64_t> placing_epoch; //!< none: not the placer
-    std::optional<instant> vacant_since;        //!< of the placer's key
+    /** The highest epoch that this daemon has placed with. It must not start to
+     * place with it again: a placer takes the jobs of its epoch for untouched.
+     */
+    std::uint64_t used_epoch = 0;
+    std::optional<instant> vacant_since; //!< of the placer's key
     instant placer_message_at;
     bool placer_is_leaving = false;
     std::optional<instant> placer_link_down_since;
--- a/libs/membership/src/membership.cpp
+++ b/libs/membership/src/membership.cpp
@@ -116,7 +116,7 @@
         // A claim without an answer may take effect after a read of the store
         // that didn't find it. Then the view reports it.
         if (placer && is_self(this->m, *placer) && !this->m.stopping &&
-            this->m.placing_epoch.value_or(0) < placer->epoch)
+            this->m.used_epoch < placer->epoch)
         {
             (*this)(claim_won{placer->epoch});
         }
@@ -158,9 +158,9 @@
     void operator()(claim_won const& given) const
     {
         this->m.call_in_flight = false;
-        if (this->m.placing_epoch.value_or(0) >= given.epoch)
+        if (this->m.used_epoch >= given.epoch)
         {
-            return; // a view has reported it already
+            return; // reported already, perhaps before this daemon was fenced
         }
         this->m.vacant_since.reset();
         this->m.view.placer = placer_claim{this->m.settings.self.name,
@@ -170,15 +170,12 @@
         // key: it keeps its state, and its orders keep their lower epoch.
         bool const reclaimed =
             this->m.placing_epoch && *this->m.placing_epoch + 1 == given.epoch;
+        this->m.placing_epoch = given.epoch;
+        this->m.used_epoch = given.epoch;
         if (!reclaimed)
         {
-            this->m.placing_epoch = given.epoch;
             this->out.emplace_back(start_placing{given.epoch});
         }
-        else
-        {
-            this->m.placing_epoch = given.epoch;
-        }
     }
 
     void operator()(claim_lost const&) const
--- a/libs/membership/tests/membership_test.cpp
+++ b/libs/membership/tests/membership_test.cpp
@@ -243,6 +243,19 @@
     EXPECT_TRUE(has<start_placing>(this->d.feed(claim_won{5})));
 }
 
+// Guards against a placer that starts its own jobs again: it takes those of its
+// epoch for untouched. The view is older than the claim of its successor.
+TEST_F(active_placer, does_not_place_again_with_an_epoch_that_it_has_used)
+{
+    this->d.feed(registered{});
+    this->d.feed(placer_fenced{});
+    std::vector<effect> const effects = this->d.feed(
+        view_changed{view_of(placer_claim{"a", 5, 4}, 4, {"a", "b", "c"})});
+    EXPECT_FALSE(has<start_placing>(effects));
+    EXPECT_FALSE(has<start_placing>(this->d.feed(claim_won{4})));
+    EXPECT_TRUE(has<start_placing>(this->d.feed(claim_won{5})));
+}
+
 TEST_F(active_placer, does_not_claim_when_it_was_fenced_and_lost_the_key)
 {
     this->d.feed(registered{});
