Keep the clients of a worker's former address until their calls end

Cause: clients_for() replaced the HTTP clients of a worker whose address had changed. A client that is destroyed drops its calls without an outcome, so the poll that hung at the former address was awaited for good, and no other one sent.

The connections to workers are a class of their own.

Why it works: every poll and order has an outcome, as the scheduler expects.

--- a/libs/cell/src/placer.cpp
+++ b/libs/cell/src/placer.cpp
@@ -22,8 +22,6 @@
 constexpr milliseconds order_timeout{500};  //!< an answer usually takes 10 ms
 constexpr milliseconds poll_margin{700};    //!< beyond a poll's wait
 constexpr milliseconds advice_margin{1000}; //!< beyond the expected time
-constexpr std::size_t poll_connections = 2; //!< a second one if the first hangs
-constexpr std::size_t order_connections = 4; //!< a worker has about 64 in all
 constexpr milliseconds max_lease{6000};
 
 store_watch::watch_settings worker_list_watch_settings()
@@ -84,7 +82,8 @@
                std::uint64_t own_epoch,
                std::int64_t revision)
     : shared(daemon_context), ports(std::move(daemon_ports)), epoch(own_epoch),
-      claimed_epoch(own_epoch), epoch_revision(revision)
+      claimed_epoch(own_epoch), epoch_revision(revision),
+      connections(daemon_context.loop)
 {
 }
 
@@ -106,7 +105,7 @@
     {
         this->intake->stop();
     }
-    this->clients.clear();
+    this->connections.clear();
 }
 
 // ---- records of earlier placers
@@ -542,27 +541,12 @@
     }
 }
 
-placer::worker_clients& placer::clients_for(std::string const& worker,
-                                            address const& where)
-{
-    worker_clients& found = this->clients[worker];
-    if (!found.polls || !(found.where == where))
-    {
-        found.where = where;
-        found.polls = std::make_unique<http_client>(
-            this->shared.loop, where, http_client_settings{poll_connections});
-        found.orders = std::make_unique<http_client>(
-            this->shared.loop, where, http_client_settings{order_connections});
-    }
-    return found;
-}
-
 void placer::execute(batch::poll_worker const& effect)
 {
     instant const sent = this->shared.now();
-    this->clients_for(effect.worker, effect.where)
+    this->connections.at(effect.worker, effect.where)
         .polls->call(platform::encode_poll(effect),
-                     effect.wait + poll_margin,
+                     std::min(effect.wait + poll_margin, max_worker_call),
                      [self = this->shared_from_this(), sent, effect](
                          result<http_reply> const& reply)
                      {
@@ -590,7 +574,7 @@
 
 void placer::execute(batch::start_task const& effect)
 {
-    this->clients_for(effect.worker, effect.where)
+    this->connections.at(effect.worker, effect.where)
         .orders->call(
             platform::encode_start(effect),
             order_timeout,
@@ -607,7 +591,7 @@
 
 void placer::execute(batch::stop_task const& effect)
 {
-    this->clients_for(effect.worker, effect.where)
+    this->connections.at(effect.worker, effect.where)
         .orders->call(
             platform::encode_stop(effect),
             order_timeout,
--- a/libs/cell/src/placer.hpp
+++ b/libs/cell/src/placer.hpp
@@ -2,6 +2,7 @@
 
 #include "context.hpp"
 #include "watched_prefix.hpp"
+#include "worker_connections.hpp"
 
 #include <map>
 #include <memory>
@@ -52,14 +53,6 @@
     batch::load_report load() const;
 
 private:
-    /** Polls and orders have clients of their own: polls wait for an end. */
-    struct worker_clients
-    {
-        address where;
-        std::unique_ptr<http_client> polls;
-        std::unique_ptr<http_client> orders;
-    };
-
     void read_records();
     void handle_records(std::vector<platform::kv_item> const& intake,
                         std::vector<platform::kv_item> const& progress,
@@ -79,8 +72,6 @@
     /** How much older the list's last answer is than the store's. */
     milliseconds worker_list_lag() const;
     void send_load();
-    worker_clients& clients_for(std::string const& worker,
-                                address const& where);
 
     void execute(batch::poll_worker const& effect);
     void execute(batch::start_task const& effect);
@@ -105,7 +96,7 @@
     std::shared_ptr<watched_prefix> workers;
     std::shared_ptr<watched_prefix> intake;
     std::int64_t intake_revision = 0;
-    std::map<std::string, worker_clients> clients;
+    worker_connections connections;
     std::vector<std::string> askers;
     /** Received before the records were read. */
     std::vector<job_message> early_jobs;
