Stop a placer that learns of a higher epoch, whoever holds the key

Two ways in which a placer knew of its successor and went on: the view showed a raised epoch, but the successor had ended and its key was vacant; and a load message of a higher epoch arrived. Neither was looked at; the placer went on until its own next claim.

A view with a higher epoch than the placer's stops it unless the key is its own, and so does a load message of a higher epoch. news_of_a_successor: the cases by_the_epoch_of_one_that_has_ended and by_its_message can't pass with the former logic, which compared the key's epoch only (by reading; not run against it).

--- a/libs/cell/src/cell_messages.cpp
+++ b/libs/cell/src/cell_messages.cpp
@@ -134,7 +134,7 @@
         this->load_sender = peer;
         this->load_received_at = this->shared.now();
     }
-    this->step_membership(membership::placer_message_received{});
+    this->step_membership(membership::placer_message_received{m.epoch});
     this->api->handle_load(m);
 }
 
--- a/libs/membership/include/membership/membership.hpp
+++ b/libs/membership/include/membership/membership.hpp
@@ -108,6 +108,7 @@
 /** A message from the placer arrived over the link. */
 struct placer_message_received
 {
+    std::uint64_t epoch = 0; //!< of the placer that sent it
 };
 
 /** The link to the placer closed or opened. */
--- a/libs/membership/src/membership.cpp
+++ b/libs/membership/src/membership.cpp
@@ -108,8 +108,10 @@
         {
             this->m.vacant_since.reset();
         }
-        if (this->m.placing_epoch && placer && !is_self(this->m, *placer) &&
-            placer->epoch > *this->m.placing_epoch)
+        // The epoch outlives the key of the daemon that claimed it.
+        bool const own_claim = placer && is_self(this->m, *placer);
+        if (this->m.placing_epoch && !own_claim &&
+            this->m.view.epoch > *this->m.placing_epoch)
         {
             this->stop("another daemon has a higher epoch");
         }
@@ -184,8 +186,12 @@
         this->m.next_call = this->now + this->m.settings.retry_delay;
     }
 
-    void operator()(placer_message_received const&) const
+    void operator()(placer_message_received const& given) const
     {
+        if (this->m.placing_epoch && given.epoch > *this->m.placing_epoch)
+        {
+            this->stop("another daemon places with a higher epoch");
+        }
         this->m.placer_message_at = this->now;
         this->m.placer_link_down_since.reset();
     }
--- a/libs/membership/tests/membership_test.cpp
+++ b/libs/membership/tests/membership_test.cpp
@@ -9,6 +9,7 @@
 
 using testing::TestWithParam;
 using testing::Values;
+using testing::WithParamInterface;
 
 membership_settings settings_of(std::string const& name)
 {
@@ -220,12 +221,50 @@
     EXPECT_EQ(this->d.state.placing_epoch, 5u);
 }
 
-TEST_F(active_placer, stops_when_another_has_a_higher_epoch)
+struct successor_case
 {
-    EXPECT_TRUE(has<stop_placing>(this->d.feed(
-        view_changed{view_of(placer_claim{"b", 7, 5}, 5, {"a", "b"})})));
+    char const* name;
+    event_body news;
+    bool stops;
+};
+
+class news_of_a_successor : public active_placer,
+                            public WithParamInterface<successor_case>
+{
+};
+
+// Guards against two daemons that place at the same time.
+TEST_P(news_of_a_successor, stops_the_placer)
+{
+    std::vector<effect> const effects = this->d.feed(GetParam().news);
+    EXPECT_EQ(has<stop_placing>(effects), GetParam().stops);
 }
 
+INSTANTIATE_TEST_SUITE_P(
+    cases,
+    news_of_a_successor,
+    Values(successor_case{"by_the_key",
+                          view_changed{
+                              view_of(placer_claim{"b", 7, 5}, 5, {"a", "b"})},
+                          true},
+           successor_case{"by_the_epoch_of_one_that_has_ended",
+                          view_changed{view_of(std::nullopt, 5, {"a"})},
+                          true},
+           successor_case{"by_its_message", placer_message_received{5}, true},
+           successor_case{"none_if_the_key_is_vacant",
+                          view_changed{view_of(std::nullopt, 4, {"a"})},
+                          false},
+           successor_case{
+               "none_if_it_has_reclaimed_its_key",
+               view_changed{view_of(placer_claim{"a", 5, 5}, 5, {"a", "b"})},
+               false},
+           successor_case{
+               "none_by_an_older_message", placer_message_received{3}, false}),
+    [](testing::TestParamInfo<successor_case> const& info)
+    {
+        return std::string(info.param.name);
+    });
+
 TEST_F(active_placer, stops_when_a_worker_fences_it)
 {
     EXPECT_TRUE(has<stop_placing>(this->d.feed(placer_fenced{})));
