End the right to place without the store or most workers

Cause: the right to place had no end. It ended when a worker refused the token or the view of the store arrived. Workers that the successor can't reach obey the old placer for good, while the successor counts their leases as over.

Now a placer leads only within a leader lease of 3 s since the store confirmed its claim (one read a second), or since more than half of the recorded workers answered its token. It starts nothing and extends no lease otherwise. A successor counts the former leases from when more than half of the same roster has answered it, and adds the leader lease: two majorities share a worker, which refuses the lower token. The roster isn't changed before that. Relatives of the same class:

- An incarnation of a worker is used, and counts, only once the claim was confirmed after it had answered: one that began after a successor's claim knows no token.
- A silent worker's tasks are started elsewhere only if the claim was confirmed after the lease's end: a successor may have extended it before.

An outage of the store for all changes nothing while most workers answer, except that tasks of a worker that falls silent wait for the store.

Changed tests: the fakes answer checks of the claim, and three tests pass some ticks more for them; no expectation changed.

--- a/libs/batch/include/batch/batch.hpp
+++ b/libs/batch/include/batch/batch.hpp
@@ -229,6 +229,14 @@
     milliseconds list_lag{0};
 };
 
+/** The outcome of a confirm_claim, or of the claim itself. A claim that another
+ * daemon's has replaced stops the placer instead. */
+struct claim_checked
+{
+    instant sent;
+    bool confirmed = false; //!< false: no answer
+};
+
 struct worker_listed
 {
     worker_offer offer;
@@ -362,6 +370,7 @@
 };
 
 using event_body = std::variant<time_passed,
+                                claim_checked,
                                 worker_listed,
                                 worker_unlisted,
                                 worker_recorded,
@@ -471,6 +480,11 @@
     std::uint64_t read = 0;
 };
 
+/** Reads whether this placer's claim is still the latest one. */
+struct confirm_claim
+{
+};
+
 /** A log entry about a decision. */
 struct log_decision
 {
@@ -490,6 +504,7 @@
                             save_progress,
                             save_roster,
                             read_jobs,
+                            confirm_claim,
                             log_decision,
                             stop_placing>;
 
@@ -503,6 +518,9 @@
     /** The longest lease that a worker grants, whatever deadline an order
      * carries. */
     milliseconds lease_limit{10'000};
+    /** How long the placer may start tasks and extend leases after its claim
+     * was last confirmed. */
+    milliseconds leader_lease{3000};
     milliseconds poll_wait{1000}; //!< maximum wait of a poll for a run to end
     /** Between attempts of an order without answer. */
     milliseconds resend_interval{150};
--- a/libs/batch/src/batch.cpp
+++ b/libs/batch/src/batch.cpp
@@ -33,6 +33,11 @@
     void operator()(time_passed const& given) const
     {
         this->s.list_lag = given.list_lag;
+        renew_leadership(this->s);
+        if (visit_due(this->s))
+        {
+            check_claim(this->s);
+        }
         if (maintenance_due(this->s))
         {
             expire_leases(this->s);
@@ -50,6 +55,11 @@
         }
     }
 
+    void operator()(claim_checked const& given) const
+    {
+        handle_claim_check(this->s, given);
+    }
+
     void operator()(worker_listed const& given) const
     {
         list_worker(this->s, given.offer);
--- a/libs/batch/src/orders.cpp
+++ b/libs/batch/src/orders.cpp
@@ -240,7 +240,7 @@
         {
             continue;
         }
-        if (r.phase == run_phase::starting)
+        if (r.phase == run_phase::starting && leads(s))
         {
             send_start(s, w, run.first, r);
         }
--- a/libs/batch/src/placing.cpp
+++ b/libs/batch/src/placing.cpp
@@ -177,7 +177,7 @@
 void place_tasks(scheduler& s)
 {
     if (s.stopped || !s.placement_due || s.now < s.next_placement ||
-        s.list_lag > max_list_lag)
+        s.list_lag > max_list_lag || !leads(s))
     {
         return;
     }
--- a/libs/batch/src/roster.cpp
+++ b/libs/batch/src/roster.cpp
@@ -69,13 +69,15 @@
     offer.where = given.where;
     worker_record& w = add_worker(s, offer);
     w.listed = known && w.listed;
+    w.of_former_roster = true;
     w.recorded_address = given.where;
     w.roster_revision = given.revision;
 }
 
 void save_roster_changes(scheduler& s)
 {
-    if (s.stopped || s.now < s.next_roster_save)
+    // Until then, the former placer's majority is of the roster as it is.
+    if (s.stopped || s.now < s.next_roster_save || !s.succeeded_at)
     {
         return;
     }
@@ -95,6 +97,8 @@
                 // Until the answer, the stored record is not known.
                 next->second.roster_save_pending = true;
                 next->second.recorded_address.reset();
+                next->second.roster_written =
+                    next->second.roster_written || change->where;
                 call.changes.push_back(*change);
             }
         }
@@ -125,6 +129,7 @@
         {
             w.recorded_address = change.where;
             w.roster_revision = change.where ? outcome.revision : 0;
+            w.roster_written = change.where.has_value();
             s.placement_due = true;
         }
         auto const now_there = outcome.found.find(change.worker);
--- a/libs/batch/src/state.hpp
+++ b/libs/batch/src/state.hpp
@@ -66,6 +66,9 @@
     bool synced = false;
     std::int64_t incarnation = 0;
     std::uint64_t incarnations = 0; //!< number seen by this placer
+    instant incarnation_seen_at;    //!< its first answer arrived
+    /** When the last poll was sent that this incarnation has answered. */
+    std::optional<instant> answered_poll_sent;
     std::uint64_t token = 0;
     bool poll_pending = false;
     bool truncated = false; //!< its last report left out ends
@@ -92,6 +95,9 @@
     std::optional<address> recorded_address;
     std::int64_t roster_revision = 0; //!< of its record; 0: none
     bool roster_save_pending = false;
+    /** A save may have stored its record since the last stored deletion. */
+    bool roster_written = false;
+    bool of_former_roster = false; //!< an earlier placer may have used it
 };
 
 enum class task_phase
@@ -215,6 +221,16 @@
      * over all steps have visited since they last began with the first one. */
     std::size_t later_steps_visited = 0;
     milliseconds list_lag{0};
+    /** When the latest check of the claim was sent that confirmed it. */
+    instant claim_confirmed_at;
+    bool claim_check_pending = false;
+    instant next_claim_check;
+    instant next_awaited_claim_check; //!< while a worker waits for one
+    instant leads_until;
+    bool led = false; //!< as last logged
+    /** When more than half of the former roster's workers had answered this
+     * placer's token. */
+    std::optional<instant> succeeded_at;
     std::vector<effect> effects;
 };
 
@@ -254,6 +270,35 @@
 bool usable(scheduler const& s, worker_record const& w);
 std::int64_t lease_deadline(scheduler& s, worker_record& w);
 
+// ---- leadership.cpp
+//
+// A placer leads while the store has confirmed its claim within the leader
+// lease, or more than half of the recorded workers have answered its token
+// within it. A successor counts answers of the same workers: any two majorities
+// share a worker, which refuses the lower token. So the former placer's last
+// order comes before the successor's majority plus one leader lease, though the
+// two may reach neither each other nor the store.
+
+/** Returns whether this placer may start tasks and extend leases. */
+bool leads(scheduler const& s);
+/** Returns how long a placer leads from its last confirmation, by the clock of
+ * another daemon. */
+milliseconds longest_leadership(scheduler const& s);
+/** Updates how long the placer leads; called periodically. */
+void renew_leadership(scheduler& s);
+void handle_claim_check(scheduler& s, claim_checked const& outcome);
+/** Confirms the claim when it is due, and at once if a worker waits for it. */
+void check_claim(scheduler& s);
+/** Returns whether the claim was confirmed after the worker's incarnation had
+ * answered. Otherwise the incarnation may have begun after a successor's claim
+ * and know neither its token nor this placer's. */
+bool is_confirmed(scheduler const& s, worker_record const& w);
+/** Notes whether most workers of the former roster have answered. */
+void check_succession(scheduler& s);
+/** Returns whether all leases that former placers may have extended are over.
+ */
+bool former_placers_have_ended(scheduler const& s);
+
 // ---- runs.cpp
 
 /** Adopts a run that an earlier placer or a late order has started. */
--- a/libs/batch/src/workers.cpp
+++ b/libs/batch/src/workers.cpp
@@ -19,6 +19,7 @@
     w.incarnations += 1;
     w.token = s.settings.epoch * incarnations_per_epoch + w.incarnations;
     w.synced = false;
+    w.answered_poll_sent.reset();
     w.processed = 0;
     w.acknowledged = 0;
     w.unsaved_ends.clear();
@@ -63,13 +64,14 @@
     return std::max(w.lease_end, w.lease_sent_at + longest_lease(s));
 }
 
-/** Drops the runs that must have ended because the lease has expired. */
+/** Drops the runs that must have ended because the lease has expired. A
+ * successor may have extended it if it claimed before the lease's end. */
 void drop_lapsed_runs(scheduler& s, worker_record& w)
 {
     std::vector<task_ref> lapsed;
     for (auto const& entry : w.runs)
     {
-        if (latest_end(s, w, entry.second) < s.now)
+        if (latest_end(s, w, entry.second) < s.claim_confirmed_at)
         {
             lapsed.push_back(entry.first);
         }
@@ -228,8 +230,7 @@
                                  {
                                      return entry.second.synced;
                                  });
-    bool const waited = s.now > s.started_at + longest_lease(s);
-    if ((s.list_complete && all) || waited)
+    if ((s.list_complete && all) || former_placers_have_ended(s))
     {
         s.settled = true;
         s.placement_due = true;
@@ -251,9 +252,9 @@
     // Entries without an incarnation hold for any.
     bool const current_offer =
         w.offer.incarnation == 0 || w.offer.incarnation == w.incarnation;
-    return w.listed && w.synced && current_offer && !w.offer.draining &&
-           is_recorded(w) && w.unknown_sizes == 0 && !w.unresponsive &&
-           w.avoid_until <= s.now &&
+    return w.listed && w.synced && is_confirmed(s, w) && current_offer &&
+           !w.offer.draining && is_recorded(w) && w.unknown_sizes == 0 &&
+           !w.unresponsive && w.avoid_until <= s.now &&
            s.now < w.clock_read_at + s.settings.poll_wait * 2;
 }
 
@@ -343,6 +344,12 @@
         w.next_poll = s.now;
         return;
     }
+    if (!w.answered_poll_sent)
+    {
+        w.incarnation_seen_at = s.now;
+    }
+    w.answered_poll_sent =
+        std::max(w.answered_poll_sent.value_or(answer.sent), answer.sent);
     w.clock_ms = answer.report.clock_ms;
     w.clock_read_at = s.now;
     w.truncated = answer.report.more_finished;
@@ -418,7 +425,7 @@
     // of its ends.
     poll.acknowledged = w.unresponsive ? 0 : w.acknowledged;
     poll.wait = w.synced ? s.settings.poll_wait : milliseconds{0};
-    if (w.synced && !w.unresponsive)
+    if (w.synced && !w.unresponsive && leads(s))
     {
         poll.lease_until = lease_deadline(s, w);
     }
@@ -430,11 +437,12 @@
     for (auto& entry : s.workers)
     {
         worker_record& w = entry.second;
-        if (!w.runs.empty() && w.lease_end < s.now)
+        if (!w.runs.empty() && w.lease_end < s.claim_confirmed_at)
         {
             drop_lapsed_runs(s, w);
         }
     }
+    check_succession(s);
     check_settled(s);
 }
 
--- a/libs/batch/tests/advice_load_test.cpp
+++ b/libs/batch/tests/advice_load_test.cpp
@@ -159,6 +159,15 @@
                  });
     }
 
+    void carry_out(confirm_claim const&)
+    {
+        this->at(this->now + round_trip,
+                 [this, sent = this->now]
+                 {
+                     this->feed(claim_checked{sent, true});
+                 });
+    }
+
     void carry_out(start_task const& order)
     {
         this->at(this->now + round_trip,
--- a/libs/batch/tests/cell_model.cpp
+++ b/libs/batch/tests/cell_model.cpp
@@ -12,6 +12,7 @@
 constexpr milliseconds tick_span{10};
 constexpr milliseconds max_old_placer_span{4000};
 constexpr milliseconds partition_span{8000};
+constexpr milliseconds isolation_span{20'000};
 constexpr milliseconds store_outage_span{5000};
 constexpr milliseconds list_gap_span{3000};
 constexpr milliseconds answer_timeout{
@@ -87,6 +88,10 @@
     {
         this->start_placer();
     }
+    if (this->chance(this->settings.injected.isolations * share))
+    {
+        this->isolate_placer();
+    }
     std::size_t const any = this->random() % this->workers.size();
     if (this->chance(this->settings.injected.crashes * share))
     {
@@ -347,18 +352,54 @@
 }
 
 void cell_model::start_placer()
+{
+    this->take_over(
+        this->placers.empty()
+            ? milliseconds{0}
+            : milliseconds{this->random() %
+                           static_cast<unsigned>(max_old_placer_span.count())});
+}
+
+/** Ends the isolation of an earlier placer, if there is one. */
+void cell_model::isolate_placer()
+{
+    for (std::unique_ptr<worker_model> const& w : this->workers)
+    {
+        w->isolated_with.reset();
+    }
+    std::size_t const old = this->placers.size() - 1;
+    this->placers[old].isolated = true;
+    int const count =
+        1 + static_cast<int>(this->random() %
+                             static_cast<unsigned>(
+                                 this->settings.injected.max_isolated_workers));
+    for (int k = 0; k < count; ++k)
+    {
+        worker_model* const w =
+            this->workers[this->random() % this->workers.size()].get();
+        w->isolated_with = old;
+        this->at(isolation_span,
+                 [w, old]
+                 {
+                     if (w->isolated_with == old)
+                     {
+                         w->isolated_with.reset();
+                     }
+                 });
+    }
+    this->take_over(isolation_span);
+}
+
+void cell_model::take_over(milliseconds old_placer_span)
 {
     this->epoch += 1;
     if (!this->placers.empty())
     {
-        std::size_t const old = this->placers.size() - 1;
-        this->at(
-            milliseconds{this->random() %
-                         static_cast<unsigned>(max_old_placer_span.count())},
-            [this, old]
-            {
-                this->placers[old].alive = false;
-            });
+        this->at(old_placer_span,
+                 [this, old = this->placers.size() - 1]
+                 {
+                     this->placers[old].alive = false;
+                 });
     }
     scheduler_settings rules;
     rules.epoch = this->epoch;
@@ -367,6 +408,7 @@
                              this->revision,
                              true,
                              false,
+                             false,
                              {}});
     std::size_t const p = this->placers.size() - 1;
     milliseconds const longest = this->settings.injected.read_span;
@@ -464,13 +506,17 @@
     }
 }
 
-worker_model* cell_model::find_reachable(std::string const& worker)
+worker_model* cell_model::find_reachable(std::size_t p,
+                                         std::string const& worker)
 {
     for (std::unique_ptr<worker_model> const& w : this->workers)
     {
         if (w->offer.id == worker)
         {
-            return w->partitioned ? nullptr : w.get();
+            bool const connected = w->isolated_with
+                                       ? *w->isolated_with == p
+                                       : !this->placers[p].isolated;
+            return w->partitioned || !connected ? nullptr : w.get();
         }
     }
     return nullptr;
@@ -530,6 +576,10 @@
             {
                 this->deliver_job_read(p, each);
             }
+            else if constexpr (std::is_same_v<kind, confirm_claim>)
+            {
+                this->deliver_claim_check(p);
+            }
         },
         what);
 }
@@ -537,7 +587,7 @@
 void cell_model::deliver_poll(std::size_t p, poll_worker const& poll)
 {
     instant const sent = this->now;
-    worker_model const* const target = this->find_reachable(poll.worker);
+    worker_model const* const target = this->find_reachable(p, poll.worker);
     std::int64_t const incarnation =
         target == nullptr ? 0 : target->offer.incarnation;
     this->at(
@@ -546,7 +596,7 @@
         [this, p, poll, sent, incarnation]
         {
             // The connection closes when the worker's process ends.
-            worker_model* const w = this->find_reachable(poll.worker);
+            worker_model* const w = this->find_reachable(p, poll.worker);
             if (w == nullptr || w->offer.incarnation != incarnation)
             {
                 this->at(answer_timeout,
@@ -597,7 +647,7 @@
     auto const carry_out = [this, p, order, fails, work, incarnation](
                                start_answered given) -> start_answered
     {
-        worker_model* const w = this->find_reachable(order.worker);
+        worker_model* const w = this->find_reachable(p, order.worker);
         job const* shape = nullptr;
         auto const open = this->jobs.find(order.task.job);
         if (open != this->jobs.end())
@@ -660,7 +710,7 @@
     this->at(this->latency(),
              [this, p, order, unanswered]
              {
-                 worker_model* const w = this->find_reachable(order.worker);
+                 worker_model* const w = this->find_reachable(p, order.worker);
                  stop_answered done = unanswered;
                  if (w != nullptr)
                  {
@@ -852,6 +902,26 @@
              });
 }
 
+/** A placer with a successor gets no answer, as if cut off from the store. */
+void cell_model::deliver_claim_check(std::size_t p)
+{
+    instant const sent = this->now;
+    this->at(this->latency(),
+             [this, p, sent]
+             {
+                 bool const silent =
+                     this->now < this->store_up_at ||
+                     this->chance(this->settings.injected.store_unknown);
+                 bool const confirmed =
+                     !silent && this->placers[p].epoch == this->epoch;
+                 this->at(confirmed ? this->latency() : answer_timeout,
+                          [this, p, sent, confirmed]
+                          {
+                              this->feed(p, claim_checked{sent, confirmed});
+                          });
+             });
+}
+
 void cell_model::deliver_save(std::size_t p, save_progress const& call)
 {
     progress_saved unanswered;
--- a/libs/batch/tests/cell_model.hpp
+++ b/libs/batch/tests/cell_model.hpp
@@ -21,10 +21,14 @@
     double lost_answer = 0.0;   //!< of calls: carried out, answer lost
     double late_order = 0.0;    //!< of orders: carried out seconds later
     double store_unknown = 0.0; //!< of saves: no answer, stored or not
-    double takeovers = 0.0;  //!< per second; the old placer still runs a while
-    double crashes = 0.0;    //!< per second, of any worker
-    double partitions = 0.0; //!< per second: a worker is unreachable for 8 s
-    double departures = 0.0; //!< per second: a new worker replaces one
+    double takeovers = 0.0; //!< per second; the old placer still runs a while
+    /** Per second: takeovers in which the old placer loses the store and, for
+     * 20 s, alone reaches some of the workers. */
+    double isolations = 0.0;
+    int max_isolated_workers = 3; //!< in each of them
+    double crashes = 0.0;         //!< per second, of any worker
+    double partitions = 0.0;    //!< per second: a worker is unreachable for 8 s
+    double departures = 0.0;    //!< per second: a new worker replaces one
     double store_outages = 0.0; //!< per second: saves are refused for 5 s
     double late_save = 0.0;     //!< of saves: no answer, stored seconds later
     double task_fails = 0.02;   //!< of runs
@@ -71,7 +75,8 @@
         std::uint64_t start_revision =
             0; //!< the store's revision when the placer started
         bool alive = true;
-        bool loaded = false; //!< has received the records of the store
+        bool isolated = false; //!< reaches only the workers isolated with it
+        bool loaded = false;   //!< has received the records of the store
         std::vector<event_body> early_events; //!< received before
     };
 
@@ -90,6 +95,9 @@
                         std::string const& id,
                         std::uint64_t revision);
     void start_placer();
+    void isolate_placer();
+    /** Starts a successor; the old placer stops after the span. */
+    void take_over(milliseconds old_placer_span);
     std::vector<event_body> read_records() const;
     void load_placer(std::size_t placer,
                      std::vector<event_body> const& records);
@@ -100,6 +108,7 @@
     void deliver_stop(std::size_t placer, stop_task const& order);
     void deliver_advice(std::size_t placer, request_advice const& call);
     void deliver_job_read(std::size_t placer, read_jobs const& call);
+    void deliver_claim_check(std::size_t placer);
     void deliver_save(std::size_t placer, save_progress const& call);
     progress_saved store_progress(std::size_t placer,
                                   save_progress const& call);
@@ -110,7 +119,7 @@
     milliseconds draw_stop_span();
     void
     reply(std::size_t placer, event_body answer, event_body answer_timeout);
-    worker_model* find_reachable(std::string const& worker);
+    worker_model* find_reachable(std::size_t placer, std::string const& worker);
 
     struct scheduled
     {
--- a/libs/batch/tests/fleet_size_test.cpp
+++ b/libs/batch/tests/fleet_size_test.cpp
@@ -89,6 +89,10 @@
                     poll_answered{poll->worker, poll->token, this->now, {}});
             }
         }
+        else if (std::holds_alternative<confirm_claim>(each))
+        {
+            replies.emplace_back(claim_checked{this->now, true});
+        }
         else if (save_roster const* const save =
                      std::get_if<save_roster>(&each))
         {
--- a/libs/batch/tests/placing_test.cpp
+++ b/libs/batch/tests/placing_test.cpp
@@ -26,14 +26,30 @@
         this->feed(time_passed{});
         this->feed(
             roster_saved{this->roster_call.save, save_outcome::stored, 5, {}});
+        this->feed(time_passed{});
     }
 
     void feed(event_body body)
     {
         this->now += milliseconds{20};
+        if (this->claim_check_sent && this->store_answers)
+        {
+            claim_checked const confirmed{*this->claim_check_sent, true};
+            this->claim_check_sent.reset();
+            this->apply(confirmed);
+        }
+        this->apply(std::move(body));
+    }
+
+    void apply(event_body body)
+    {
         for (effect const& each :
              step(*this->scheduler, {this->now, std::move(body)}))
         {
+            if (std::holds_alternative<confirm_claim>(each))
+            {
+                this->claim_check_sent = this->now;
+            }
             if (std::holds_alternative<poll_worker>(each))
             {
                 this->token = std::get<poll_worker>(each).token;
@@ -54,6 +70,14 @@
         }
     }
 
+    void pass_time(int ticks)
+    {
+        for (int k = 0; k < ticks; ++k)
+        {
+            this->feed(time_passed{});
+        }
+    }
+
     /** Answers the poll that is due. */
     void answer(worker_report const& report)
     {
@@ -87,6 +111,8 @@
     start_task last;
     save_roster roster_call;
     save_progress progress_call;
+    std::optional<instant> claim_check_sent; //!< of the one without an answer
+    bool store_answers = true;               //!< checks of the claim
 };
 
 TEST_F(one_worker, counts_a_job_as_pending_until_a_start_is_confirmed)
@@ -349,6 +375,7 @@
     report.incarnation = 2;
     this->answer(report);
     this->answer(report);
+    this->pass_time(2); // for a check of the claim and its answer
     this->submit("a");
     EXPECT_EQ(this->starts, 0);
     offer.incarnation = 2;
@@ -414,7 +441,7 @@
         this->answer(report);
     }
     this->now += milliseconds{GetParam().silent_ms};
-    this->feed(time_passed{});
+    this->pass_time(8); // for a check of the claim and its answer
     EXPECT_EQ(usage_of(*this->scheduler, "w1")->runs, GetParam().runs);
 }
 
--- a/libs/batch/tests/unknown_jobs_test.cpp
+++ b/libs/batch/tests/unknown_jobs_test.cpp
@@ -36,9 +36,24 @@
     void feed(event_body body)
     {
         this->now += milliseconds{10};
+        if (this->claim_check_sent)
+        {
+            claim_checked const confirmed{*this->claim_check_sent, true};
+            this->claim_check_sent.reset();
+            this->apply(confirmed);
+        }
+        this->apply(std::move(body));
+    }
+
+    void apply(event_body body)
+    {
         for (effect const& each :
              step(*this->scheduler, {this->now, std::move(body)}))
         {
+            if (std::holds_alternative<confirm_claim>(each))
+            {
+                this->claim_check_sent = this->now;
+            }
             if (std::holds_alternative<poll_worker>(each))
             {
                 poll_worker const& poll = std::get<poll_worker>(each);
@@ -104,6 +119,7 @@
     }
 
     instant now{milliseconds{10'000}};
+    std::optional<instant> claim_check_sent;
     scheduler_ptr scheduler;
     std::map<std::string, poll_worker> polls;
     std::uint64_t last_read = 0;
@@ -189,6 +205,7 @@
     this->answer("w2", {});
     this->tell_job();
     this->feed(time_passed{});
+    this->feed(time_passed{}); // brings the answer of the claim's check
     EXPECT_EQ(this->starts, 1);
 }
 
--- a/libs/batch/tests/worker_model.hpp
+++ b/libs/batch/tests/worker_model.hpp
@@ -53,7 +53,9 @@
     /** Returns the worker's own clock, which runs 2% slow. */
     std::int64_t clock(instant now) const;
     bool partitioned = false; //!< unreachable, but still running
-    bool listed = true;       //!< in the list of workers
+    /** Only this placer reaches it. */
+    std::optional<std::size_t> isolated_with;
+    bool listed = true; //!< in the list of workers
     std::size_t ends_per_report = 500;
 
 private:
--- a/libs/cell/src/placer.cpp
+++ b/libs/cell/src/placer.cpp
@@ -779,6 +779,27 @@
         });
 }
 
+void placer::execute(batch::confirm_claim const&)
+{
+    this->shared.store.get(
+        keys::epoch,
+        [self = this->shared_from_this(),
+         call = store_call{"what=epoch", this->shared.now()}](
+            result<platform::kv_item> const& item)
+        {
+            self->shared.record_store_call(call, item);
+            std::uint64_t const stored =
+                item.has_value() ? decode_epoch(item.assume_value().value) : 0;
+            if (stored > self->claimed_epoch && !self->stopped)
+            {
+                self->ports.superseded();
+                return;
+            }
+            self->step_scheduler(batch::claim_checked{
+                call.sent_at, stored == self->claimed_epoch});
+        });
+}
+
 void placer::execute(batch::log_decision const& effect)
 {
     this->shared.log_event(effect.number, effect.detail);
--- a/libs/cell/src/placer.hpp
+++ b/libs/cell/src/placer.hpp
@@ -80,6 +80,7 @@
     void execute(batch::save_progress const& effect);
     void execute(batch::save_roster const& effect);
     void execute(batch::read_jobs const& effect);
+    void execute(batch::confirm_claim const& effect);
     void execute(batch::log_decision const& effect);
     void handle_save_reply(batch::save_progress const& call,
                            result<platform::kv_commit_result> const& reply);
--- a/libs/events_log/src/catalogue.cpp
+++ b/libs/events_log/src/catalogue.cpp
@@ -72,6 +72,7 @@
         {events::ends_acknowledged, info, "ends acknowledged"},
         {events::roster_changed, info, "roster changed"},
         {events::records_read, info, "records read"},
+        {events::leadership_changed, info, "leadership changed"},
         {events::malformed_link_message, warning, "malformed link message"},
         {events::malformed_answer, warning, "malformed answer"},
     };
