Give silent workers up at a takeover only by a claim confirmed since

Test, which failed before: placer_of_five.settles_without_all_answers_only_by_a_claim_confirmed_since.

--- a/libs/batch/src/leadership.cpp
+++ b/libs/batch/src/leadership.cpp
@@ -177,8 +177,11 @@
 
 bool former_placers_have_ended(scheduler const& s)
 {
-    return s.succeeded_at &&
-           s.now > *s.succeeded_at + longest_leadership(s) + longest_lease(s);
+    // A successor of this placer may have read the ends on silent workers, and
+    // acknowledged them, if it claimed before.
+    return s.succeeded_at && s.claim_confirmed_at > *s.succeeded_at +
+                                                        longest_leadership(s) +
+                                                        longest_lease(s);
 }
 
 } // namespace cicada::batch
--- a/libs/batch/src/state.hpp
+++ b/libs/batch/src/state.hpp
@@ -295,8 +295,8 @@
 bool is_confirmed(scheduler const& s, worker_record const& w);
 /** Notes whether most workers of the former roster have answered. */
 void check_succession(scheduler& s);
-/** Returns whether all leases that former placers may have extended are over.
- */
+/** Returns whether all leases that former placers may have extended were over
+ * when the claim was last confirmed. */
 bool former_placers_have_ended(scheduler const& s);
 
 // ---- runs.cpp
--- a/libs/batch/tests/leadership_test.cpp
+++ b/libs/batch/tests/leadership_test.cpp
@@ -256,6 +256,22 @@
     EXPECT_EQ(this->started_on.size(), 2u);
 }
 
+// Guards against a placer that gives a former job's silent worker up after its
+// own successor has read and acknowledged the ends there.
+TEST_F(placer_of_five,
+       settles_without_all_answers_only_by_a_claim_confirmed_since)
+{
+    this->reach({"w1", "w2", "w3"});
+    this->submit("former", 1);
+    this->run_for(milliseconds{500});
+    this->store_answers = false;
+    this->run_for(all_leases * 2);
+    EXPECT_TRUE(this->started_on.empty());
+    this->store_answers = true;
+    this->run_for(milliseconds{1500});
+    EXPECT_EQ(this->started_on.size(), 1u);
+}
+
 // ---- its successor
 
 struct succession_case
@@ -305,7 +321,7 @@
                         milliseconds{13'400},
                         false},
         succession_case{
-            "no_longer", {"w1", "w2", "w3"}, {}, milliseconds{13'900}, true},
+            "no_longer", {"w1", "w2", "w3"}, {}, milliseconds{14'900}, true},
         succession_case{"while_most_workers_are_silent",
                         {"w1", "w2"},
                         {},
@@ -314,7 +330,7 @@
         succession_case{"until_those_that_left_the_list_count_as_gone",
                         {"w1", "w2"},
                         {"w3", "w4"},
-                        milliseconds{16'300},
+                        milliseconds{17'300},
                         true}),
     [](testing::TestParamInfo<succession_case> const& info)
     {
