Send no request after its deadline

A process that was paused between making a call and sending it sent an order after waking, when its right to place could have ended: a call that waited for a connection, or for the end of a connect, looked at its deadline only when its timer fired.

--- a/libs/http/src/client.cpp
+++ b/libs/http/src/client.cpp
@@ -148,6 +148,12 @@
 
     void send()
     {
+        // The process may have been paused since the call was made.
+        if (this->current->deadline <= clock::now())
+        {
+            this->fail(error_code::unavailable, asio::error::timed_out);
+            return;
+        }
         this->message = {};
         this->message.version(11);
         this->message.method_string(this->current->request.method);
--- a/libs/http/tests/http_test.cpp
+++ b/libs/http/tests/http_test.cpp
@@ -113,6 +113,40 @@
     EXPECT_EQ(got->assume_error().code, error_code::unavailable);
 }
 
+// Guards against orders that a process sends after a pause, when the right to
+// give them may have ended.
+TEST_F(exchange, past_its_deadline_is_not_sent)
+{
+    int served = 0;
+    this->start(
+        [&served](http_request const& request, http_responder const& answer)
+        {
+            served += 1;
+            echo(request, answer);
+        });
+    ASSERT_TRUE(this->call({"GET", "/first", {}, ""}).has_value());
+    std::optional<result<http_reply>> got;
+    constexpr milliseconds timeout{40};
+    std::chrono::steady_clock::time_point const deadline =
+        std::chrono::steady_clock::now() + timeout;
+    for (int k = 0; k < 3; ++k) // one waits for a connection
+    {
+        this->client->call({"GET", "/late", {}, ""},
+                           timeout,
+                           [&got](result<http_reply> outcome)
+                           {
+                               got = std::move(outcome);
+                           });
+    }
+    while (std::chrono::steady_clock::now() <= deadline)
+    {
+    }
+    this->loop.run_for(milliseconds{300});
+    ASSERT_TRUE(got.has_value());
+    // The first one was sent at once, on the open connection.
+    EXPECT_EQ(served, 2);
+}
+
 TEST_F(exchange, beyond_the_connection_limit_waits)
 {
     std::vector<http_responder> pending;
