Don't start to place by a claim that is answered during the stop

A claim answered after SIGTERM started a placer on a daemon that had ended its lease; it would have led by the epoch alone.

--- a/libs/membership/src/membership.cpp
+++ b/libs/membership/src/membership.cpp
@@ -160,7 +160,7 @@
     void operator()(claim_won const& given) const
     {
         this->m.call_in_flight = false;
-        if (this->m.used_epoch >= given.epoch)
+        if (this->m.stopping || this->m.used_epoch >= given.epoch)
         {
             return; // reported already, perhaps before this daemon was fenced
         }
--- a/libs/membership/tests/membership_test.cpp
+++ b/libs/membership/tests/membership_test.cpp
@@ -304,6 +304,15 @@
     EXPECT_FALSE(this->d.time_to_claim(milliseconds{1000}));
 }
 
+TEST(stopping_daemon, does_not_place_by_a_claim_that_is_answered_late)
+{
+    test_daemon d("a");
+    d.join(view_of(std::nullopt, 3, {"a"}));
+    ASSERT_TRUE(d.time_to_claim(milliseconds{500}));
+    d.feed(stop_requested{});
+    EXPECT_FALSE(has<start_placing>(d.feed(claim_won{4})));
+}
+
 TEST_F(active_placer, ends_its_lease_when_it_is_asked_to_stop)
 {
     std::vector<effect> const effects = this->d.feed(stop_requested{});
