Drop a restarted worker's former runs only by a claim confirmed since

The review of the leader lease found the case, the model shows it: the placer has a run on a worker that it doesn't reach. A successor reaches it, reads the run's end and acknowledges it.

The first answer of a worker that has runs counts once the claim was confirmed after it. Besides, from the same review: a start isn't resent to a worker that doesn't answer polls (it may have restarted and know no token), and a lease that a former placer may have extended counts for the leader lease more while that one may lead.

--- a/libs/batch/src/leadership.cpp
+++ b/libs/batch/src/leadership.cpp
@@ -79,6 +79,11 @@
     return unconfirmed || lapsed;
 }
 
+instant end_of_former_leases(scheduler const& s)
+{
+    return *s.succeeded_at + longest_leadership(s) + longest_lease(s);
+}
+
 } // namespace
 
 bool leads(scheduler const& s)
@@ -138,7 +143,11 @@
 
 void check_claim(scheduler& s)
 {
+    bool const settles = !s.settled && s.succeeded_at &&
+                         s.now > end_of_former_leases(s) &&
+                         s.claim_confirmed_at <= end_of_former_leases(s);
     bool const awaited =
+        settles ||
         std::any_of(s.workers.begin(),
                     s.workers.end(),
                     [&s](auto const& entry)
@@ -175,13 +184,19 @@
     }
 }
 
+instant latest_former_lease(scheduler const& s)
+{
+    bool const may_lead =
+        !s.succeeded_at || s.now <= *s.succeeded_at + longest_leadership(s);
+    return s.now + longest_lease(s) +
+           (may_lead ? longest_leadership(s) : milliseconds{0});
+}
+
 bool former_placers_have_ended(scheduler const& s)
 {
     // A successor of this placer may have read the ends on silent workers, and
     // acknowledged them, if it claimed before.
-    return s.succeeded_at && s.claim_confirmed_at > *s.succeeded_at +
-                                                        longest_leadership(s) +
-                                                        longest_lease(s);
+    return s.succeeded_at && s.claim_confirmed_at > end_of_former_leases(s);
 }
 
 } // namespace cicada::batch
--- a/libs/batch/src/orders.cpp
+++ b/libs/batch/src/orders.cpp
@@ -240,7 +240,7 @@
         {
             continue;
         }
-        if (r.phase == run_phase::starting && leads(s))
+        if (r.phase == run_phase::starting && leads(s) && !w.unresponsive)
         {
             send_start(s, w, run.first, r);
         }
--- a/libs/batch/src/runs.cpp
+++ b/libs/batch/src/runs.cpp
@@ -79,7 +79,7 @@
     w.used = w.used + record.size;
     w.runs[seen.task] = record;
     // Whoever started it may have extended the lease until now.
-    w.lease_end = std::max(w.lease_end, s.now + longest_lease(s));
+    w.lease_end = std::max(w.lease_end, latest_former_lease(s));
     if (!wanted && !record.unknown_size)
     {
         stop_run(s, w, seen.task);
--- a/libs/batch/src/state.hpp
+++ b/libs/batch/src/state.hpp
@@ -295,6 +295,8 @@
 bool is_confirmed(scheduler const& s, worker_record const& w);
 /** Notes whether most workers of the former roster have answered. */
 void check_succession(scheduler& s);
+/** Returns when a lease must have ended that a former placer extended. */
+instant latest_former_lease(scheduler const& s);
 /** Returns whether all leases that former placers may have extended were over
  * when the claim was last confirmed. */
 bool former_placers_have_ended(scheduler const& s);
--- a/libs/batch/src/workers.cpp
+++ b/libs/batch/src/workers.cpp
@@ -12,6 +12,7 @@
 
 constexpr milliseconds poll_interval{20}; //!< lets one answer list several ends
 constexpr milliseconds failed_poll_interval{200};
+constexpr milliseconds unconfirmed_poll_interval{50};
 
 void begin_incarnation(scheduler& s, worker_record& w, std::int64_t incarnation)
 {
@@ -355,14 +356,22 @@
     w.truncated = answer.report.more_finished;
     // Ends that a truncated report leaves out may be of runs that this placer
     // would start again.
-    bool const newly_synced =
+    bool const complete =
         answer.token == w.token && !w.synced && !answer.report.more_finished;
+    // A successor may have taken the ends of the former incarnation's runs, if
+    // it claimed before this one began.
+    bool const newly_synced =
+        complete && (w.runs.empty() || is_confirmed(s, w));
+    if (complete)
+    {
+        // Before it, orders with another token may have extended the lease.
+        w.lease_end = std::max(w.lease_end, latest_former_lease(s));
+        w.next_poll = s.now + (newly_synced ? milliseconds{0}
+                                            : unconfirmed_poll_interval);
+    }
     if (newly_synced)
     {
         w.synced = true;
-        w.next_poll = s.now;
-        // Before it, orders with another token may have extended the lease.
-        w.lease_end = std::max(w.lease_end, s.now + longest_lease(s));
         s.placement_due = true;
     }
     for (finished_run const& end : answer.report.finished)
@@ -383,7 +392,7 @@
     {
         drop_unlisted_runs(s, w, answer.report);
     }
-    else if (!answer.report.more_finished)
+    else if (w.synced && !answer.report.more_finished)
     {
         drop_vanished_runs(s, w, answer);
     }
--- a/libs/batch/tests/cell_model.cpp
+++ b/libs/batch/tests/cell_model.cpp
@@ -96,14 +96,23 @@
     if (this->chance(this->settings.injected.crashes * share))
     {
         this->workers[any]->crash(this->now, this->next_incarnation++);
-        worker_offer const offer = this->workers[any]->offer;
+        auto const isolated =
+            std::find_if(this->workers.begin(),
+                         this->workers.end(),
+                         [](std::unique_ptr<worker_model> const& w)
+                         {
+                             return w->isolated_with.has_value();
+                         });
+        if (this->settings.injected.restarts_on_isolated_side &&
+            isolated != this->workers.end())
+        {
+            this->isolate_worker(*this->workers[any],
+                                 *(*isolated)->isolated_with);
+        }
         this->at(milliseconds{500 + this->random() % 3000},
-                 [this, offer]
+                 [this, id = this->workers[any]->offer.id]
                  {
-                     for (std::size_t p = 0; p < this->placers.size(); ++p)
-                     {
-                         this->feed(p, worker_listed{offer});
-                     }
+                     this->list_again(id);
                  });
     }
     if (this->chance(this->settings.injected.store_outages * share))
@@ -139,6 +148,23 @@
              });
 }
 
+/** Lists a worker that has restarted, unless it has been replaced. An entry
+ * never follows one of a later incarnation. */
+void cell_model::list_again(std::string const& id)
+{
+    for (std::unique_ptr<worker_model> const& w : this->workers)
+    {
+        if (w->offer.id != id)
+        {
+            continue;
+        }
+        for (std::size_t p = 0; p < this->placers.size(); ++p)
+        {
+            this->feed(p, worker_listed{w->offer});
+        }
+    }
+}
+
 /** Replaces a worker that disappears without notice; the list drops it after
  * 4.5 s without contact. */
 void cell_model::replace_worker(std::size_t which)
@@ -377,19 +403,24 @@
     {
         worker_model* const w =
             this->workers[this->random() % this->workers.size()].get();
-        w->isolated_with = old;
-        this->at(isolation_span,
-                 [w, old]
-                 {
-                     if (w->isolated_with == old)
-                     {
-                         w->isolated_with.reset();
-                     }
-                 });
+        this->isolate_worker(*w, old);
     }
     this->take_over(isolation_span);
 }
 
+void cell_model::isolate_worker(worker_model& w, std::size_t p)
+{
+    w.isolated_with = p;
+    this->at(isolation_span,
+             [&w, p]
+             {
+                 if (w.isolated_with == p)
+                 {
+                     w.isolated_with.reset();
+                 }
+             });
+}
+
 void cell_model::take_over(milliseconds old_placer_span)
 {
     this->epoch += 1;
--- a/libs/batch/tests/cell_model.hpp
+++ b/libs/batch/tests/cell_model.hpp
@@ -25,8 +25,9 @@
     /** Per second: takeovers in which the old placer loses the store and, for
      * 20 s, alone reaches some of the workers. */
     double isolations = 0.0;
-    int max_isolated_workers = 3; //!< in each of them
-    double crashes = 0.0;         //!< per second, of any worker
+    int max_isolated_workers = 3;           //!< in each of them
+    bool restarts_on_isolated_side = false; //!< of workers, during an isolation
+    double crashes = 0.0;                   //!< per second, of any worker
     double partitions = 0.0;    //!< per second: a worker is unreachable for 8 s
     double departures = 0.0;    //!< per second: a new worker replaces one
     double store_outages = 0.0; //!< per second: saves are refused for 5 s
@@ -96,6 +97,7 @@
                         std::uint64_t revision);
     void start_placer();
     void isolate_placer();
+    void isolate_worker(worker_model& w, std::size_t placer);
     /** Starts a successor; the old placer stops after the span. */
     void take_over(milliseconds old_placer_span);
     std::vector<event_body> read_records() const;
@@ -114,6 +116,7 @@
                                   save_progress const& call);
     void deliver_roster(std::size_t placer, save_roster const& call);
     roster_saved store_roster(std::size_t placer, save_roster const& call);
+    void list_again(std::string const& id);
     void replace_worker(std::size_t which);
     void hide_worker(std::size_t which);
     milliseconds draw_stop_span();
--- a/libs/batch/tests/leadership_test.cpp
+++ b/libs/batch/tests/leadership_test.cpp
@@ -256,6 +256,61 @@
     EXPECT_EQ(this->started_on.size(), 2u);
 }
 
+struct restart_case
+{
+    char const* name;
+    std::size_t
+        answering;        //!< other workers that answer while the store doesn't
+    milliseconds silence; //!< of the worker that then restarts
+};
+
+class restarted_worker : public placer_of_five,
+                         public testing::WithParamInterface<restart_case>
+{
+};
+
+// Guards against a task that is started again after a successor has
+// acknowledged its end: the worker restarts and only the former placer reaches
+// it.
+TEST_P(restarted_worker, loses_its_runs_only_by_a_claim_confirmed_since)
+{
+    this->reach(this->all);
+    this->run_for(milliseconds{500});
+    this->submit("a", 2);
+    this->run_for(milliseconds{500});
+    ASSERT_EQ(this->started_on.size(), 1u);
+    std::string const worker = this->started_on.front();
+    std::set<std::string> others = this->all;
+    others.erase(worker);
+    while (others.size() > GetParam().answering)
+    {
+        others.erase(others.begin());
+    }
+    this->store_answers = false;
+    this->reach(others);
+    this->run_for(GetParam().silence);
+    this->incarnations[worker] += 1;
+    this->runs[worker].clear();
+    others.insert(worker);
+    this->reach(others);
+    this->run_for(milliseconds{800});
+    EXPECT_EQ(this->started_on.size(), 1u);
+    this->store_answers = true;
+    this->run_for(milliseconds{1500});
+    EXPECT_EQ(this->started_on.size(), 2u);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    cases,
+    restarted_worker,
+    testing::Values(
+        restart_case{"while_most_workers_answer", 4, milliseconds{5000}},
+        restart_case{"within_the_leader_lease", 1, milliseconds{1000}}),
+    [](testing::TestParamInfo<restart_case> const& info)
+    {
+        return std::string(info.param.name);
+    });
+
 // Guards against a placer that gives a former job's silent worker up after its
 // own successor has read and acknowledged the ends there.
 TEST_F(placer_of_five,
