--- a/libs/soak/src/callers.cpp
+++ b/libs/soak/src/callers.cpp
@@ -19,6 +19,7 @@
 constexpr double share_on_leaving = 0.1; //!< kept connections of callers
 constexpr double failing_runs = 0.04;
 constexpr double poison_jobs = 0.02; //!< every run of theirs fails
+constexpr int least_allowed = 2;     //!< room for each gang that is drawn
 
 /** The same for a task and a run, whatever else happens. */
 double draw_of(std::uint64_t seed, std::string const& of)
@@ -44,8 +45,12 @@
 
 } // namespace
 
-callers::callers(bench& given, crew& cell, batch::cell_config config)
-    : shared(given), daemons(cell), rules(std::move(config))
+callers::callers(bench& given,
+                 crew& cell,
+                 batch::cell_config config,
+                 std::function<int(std::string const& step)> counter)
+    : shared(given), daemons(cell), rules(std::move(config)),
+      count_allowed(std::move(counter))
 {
 }
 
@@ -71,18 +76,36 @@
     this->open = false;
 }
 
-batch::job callers::draw_job()
+std::string callers::draw_id()
 {
-    batch::job made;
     std::uint64_t const number = this->shared.random();
     char id[17];
     std::snprintf(
         id, sizeof id, "%016llx", static_cast<unsigned long long>(number));
-    made.id = id;
+    return id;
+}
+
+/** The advisor allows enough workers for each step. */
+bool callers::can_run(batch::job const& made) const
+{
+    int const least = std::min(least_allowed, this->shared.settings.workers);
+    for (std::size_t k = 0; made.queue.advice && k < made.steps.size(); ++k)
+    {
+        if (this->count_allowed(made.id + ".0." + std::to_string(k)) < least)
+        {
+            return false;
+        }
+    }
+    return true;
+}
+
+batch::job callers::draw_job()
+{
+    batch::job made;
+    made.id = this->draw_id();
     made.queue =
         this->rules.queues[static_cast<std::size_t>(this->shared.draw_int(
             0, static_cast<int>(this->rules.queues.size()) - 1))];
-    made.spec = "spec-" + made.id;
     int const steps = this->shared.draw_int(1, 3);
     for (int k = 0; k < steps; ++k)
     {
@@ -100,6 +123,11 @@
         }
         made.steps.push_back(step);
     }
+    while (!this->can_run(made))
+    {
+        made.id = this->draw_id();
+    }
+    made.spec = "spec-" + made.id;
     return made;
 }
 
--- a/libs/soak/src/crew.cpp
+++ b/libs/soak/src/crew.cpp
@@ -212,19 +212,40 @@
     seat.hurt_at = steady_now();
     seat.running.signal(SIGSTOP);
     this->shared.after(span,
-                       [&seat]
+                       [this, which]
                        {
-                           seat.paused = false;
-                           seat.hurt_at = steady_now();
-                           seat.running.signal(SIGCONT);
+                           this->wake(which);
                        });
 }
 
+void crew::wake(std::size_t which)
+{
+    daemon_seat& seat = *this->seats[which];
+    seat.paused = false;
+    seat.hurt_at = steady_now();
+    seat.running.signal(SIGCONT);
+}
+
 void crew::hang_up(std::size_t which)
 {
     this->seats[which]->running.signal(SIGHUP);
 }
 
+std::optional<std::size_t> crew::placer(platform::standin::store const& list)
+{
+    std::string const claim = list.value("cell/placer");
+    for (std::size_t k = 0; k < this->seats.size(); ++k)
+    {
+        daemon_seat const& seat = *this->seats[k];
+        if (claim.find("\"name\":\"" + seat.name + "\"") != std::string::npos &&
+            seat.running.is_running() && !seat.paused)
+        {
+            return k;
+        }
+    }
+    return std::nullopt;
+}
+
 std::size_t crew::choose(bool also_leaving)
 {
     std::vector<std::size_t> able;
--- a/libs/soak/src/relay.cpp
+++ b/libs/soak/src/relay.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/write.hpp>
 
 #include <array>
+#include <charconv>
 
 namespace cicada::soak
 {
@@ -17,6 +18,8 @@
 {
 
 constexpr std::size_t chunk_bytes = std::size_t{16} << 10;
+constexpr std::string_view token_field = "\"fencing-token\":";
+constexpr std::uint64_t tokens_per_epoch = 1024;
 
 void reset(tcp::socket& socket)
 {
@@ -25,8 +28,33 @@
     socket.close(ignored);
 }
 
+bool holds(epoch_range const& range, std::uint64_t epoch)
+{
+    return range.lowest <= epoch && epoch <= range.highest;
+}
+
 } // namespace
 
+std::optional<std::uint64_t> read_epoch(std::string_view chunk)
+{
+    std::size_t const at = chunk.find(token_field);
+    if (at == std::string_view::npos)
+    {
+        return std::nullopt;
+    }
+    std::string_view const rest = chunk.substr(at + token_field.size());
+    char const* const end = rest.data() + rest.size();
+    std::uint64_t token = 0;
+    std::from_chars_result const read =
+        std::from_chars(rest.data(), end, token);
+    // Digits at the chunk's end may go on in the next one.
+    if (read.ec != std::errc{} || read.ptr == end)
+    {
+        return std::nullopt;
+    }
+    return token / tokens_per_epoch;
+}
+
 /** One connection and its other half. */
 class relay::pipe : public std::enable_shared_from_this<pipe>
 {
@@ -82,12 +110,23 @@
         bool mute = false;
     };
 
-    bool swallows(end& from)
+    bool swallows(end& from, std::size_t size)
     {
         relay_mode const mode = this->owner->mode;
         bool const request = &from == &this->near;
-        from.mute = from.mute || (request ? mode == relay_mode::mute_requests
-                                          : mode == relay_mode::mute_answers);
+        if (request)
+        {
+            std::optional<std::uint64_t> const read =
+                read_epoch({from.chunk.data(), size});
+            this->epoch = read ? read : this->epoch;
+        }
+        if (this->epoch && !holds(this->owner->epochs, *this->epoch))
+        {
+            this->silence();
+        }
+        from.mute = from.mute || this->owner->cut ||
+                    (request ? mode == relay_mode::mute_requests
+                             : mode == relay_mode::mute_answers);
         return from.mute;
     }
 
@@ -103,7 +142,7 @@
                     self->close();
                     return;
                 }
-                if (self->swallows(from))
+                if (self->swallows(from, size))
                 {
                     self->pump(from, to);
                     return;
@@ -136,8 +175,9 @@
     }
 
     std::shared_ptr<relay> owner;
-    end near; //!< the caller's
-    end far;  //!< the server's
+    end near;                           //!< the caller's
+    end far;                            //!< the server's
+    std::optional<std::uint64_t> epoch; //!< of the last token
 };
 
 relay::relay(asio::io_context& given, address const& to)
@@ -203,6 +243,16 @@
     this->mode = wanted;
 }
 
+void relay::set_cut(bool wanted)
+{
+    this->cut = wanted;
+}
+
+void relay::set_epochs(epoch_range const& wanted)
+{
+    this->epochs = wanted;
+}
+
 void relay::set_delay(milliseconds wanted)
 {
     this->delay = wanted;
--- a/libs/soak/src/relay.hpp
+++ b/libs/soak/src/relay.hpp
@@ -5,8 +5,12 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 
+#include <cstdint>
+#include <limits>
 #include <memory>
+#include <optional>
 #include <set>
+#include <string_view>
 
 /** A loopback proxy that harms the connections that pass through it. */
 namespace cicada::soak
@@ -20,6 +24,19 @@
     refuse         //!< new connections are reset
 };
 
+/** Placers, by the epoch of their fencing tokens. */
+struct epoch_range
+{
+    std::uint64_t lowest = 0;
+    std::uint64_t highest = std::numeric_limits<std::uint64_t>::max();
+
+    bool operator==(epoch_range const&) const = default;
+};
+
+/** The epoch of the placer that sent a request to a worker; none if the chunk
+ * holds no whole fencing token. */
+std::optional<std::uint64_t> read_epoch(std::string_view chunk);
+
 class relay : public std::enable_shared_from_this<relay>
 {
 public:
@@ -31,6 +48,11 @@
 
     /** A connection that has lost bytes stays mute for good. */
     void set_mode(relay_mode mode);
+    /** Swallows everything, whatever the mode. */
+    void set_cut(bool wanted);
+    /** A connection whose last token is of another epoch falls silent for
+     * good; one without a token passes. */
+    void set_epochs(epoch_range const& wanted);
     /** Every chunk arrives this much later. */
     void set_delay(milliseconds delay);
     void reset_all();
@@ -47,6 +69,8 @@
     boost::asio::ip::tcp::acceptor acceptor;
     std::set<std::shared_ptr<pipe>> pipes;
     relay_mode mode = relay_mode::pass;
+    bool cut = false;
+    epoch_range epochs;
     milliseconds delay{0};
 };
 
--- a/libs/soak/src/site.hpp
+++ b/libs/soak/src/site.hpp
@@ -76,8 +76,12 @@
     void kill(std::size_t which, milliseconds away);
     void stop(std::size_t which);
     void pause(std::size_t which, milliseconds span);
+    void wake(std::size_t which);
     void hang_up(std::size_t which);
 
+    /** The daemon that holds the placer's key and runs; none if nobody does. */
+    std::optional<std::size_t> placer(platform::standin::store const& list);
+
     /** One that the balancer would choose; any, if none is in rotation. */
     std::size_t choose(bool also_leaving);
 
@@ -117,7 +121,11 @@
 class callers
 {
 public:
-    callers(bench& given, crew& daemons, batch::cell_config config);
+    /** `count_allowed`: the workers that the advisor allows for a step. */
+    callers(bench& given,
+            crew& daemons,
+            batch::cell_config config,
+            std::function<int(std::string const& step)> count_allowed);
 
     /** Hands in jobs at the settings' rate until told to stop. */
     void begin();
@@ -134,7 +142,9 @@
     batch::cell_config const& config() const;
 
 private:
+    std::string draw_id();
     batch::job draw_job();
+    bool can_run(batch::job const& made) const;
     void hand_in();
     void submit(std::shared_ptr<caller_job> const& of);
     void take_submit(std::shared_ptr<caller_job> const& of,
@@ -148,6 +158,7 @@
     bench& shared;
     crew& daemons;
     batch::cell_config rules;
+    std::function<int(std::string const& step)> count_allowed;
     std::map<std::string, std::shared_ptr<caller_job>> jobs;
     bool open = false;
 };
--- a/libs/soak/src/soak.cpp
+++ b/libs/soak/src/soak.cpp
@@ -82,8 +82,14 @@
         }
         this->daemons = std::make_unique<crew>(
             this->shared, at_store.assume_value(), at_policy.assume_value());
-        this->clients = std::make_unique<callers>(
-            this->shared, *this->daemons, make_config());
+        this->clients =
+            std::make_unique<callers>(this->shared,
+                                      *this->daemons,
+                                      make_config(),
+                                      [this](std::string const& step)
+                                      {
+                                          return this->count_allowed(step);
+                                      });
         this->workers = std::make_unique<standin::fleet>(this->shared.loop,
                                                          this->store,
                                                          this->policy,
@@ -106,6 +112,16 @@
         return this->daemons->start();
     }
 
+    int count_allowed(std::string const& step) const
+    {
+        int sum = 0;
+        for (int k = 0; k < this->workers->size(); ++k)
+        {
+            sum += this->policy.allows(step, this->workers->id(k)) ? 1 : 0;
+        }
+        return sum;
+    }
+
     /** Another writer's entries in the list of workers. */
     void put_foreign_entries()
     {
--- a/libs/soak/src/trouble.cpp
+++ b/libs/soak/src/trouble.cpp
@@ -1,6 +1,8 @@
 #include "trouble.hpp"
 
+#include <algorithm>
 #include <cmath>
+#include <numeric>
 
 namespace cicada::soak
 {
@@ -9,6 +11,8 @@
 {
 
 constexpr double faults_a_second = 1.2;
+/** Longer than the latest start and the longest span of an isolation. */
+constexpr milliseconds isolation_period{30'000};
 
 } // namespace
 
@@ -50,41 +54,62 @@
 void trouble::begin()
 {
     this->next();
+    this->draw_isolation();
+}
+
+void trouble::note(std::string const& what)
+{
+    this->shared.report.faults.push_back(
+        std::to_string((steady_now() - this->shared.began).count()) +
+        " ms: " + what);
+}
+
+void trouble::draw_isolation()
+{
+    if (this->shared.chance(0.5))
+    {
+        this->until(this->span(1000, 6000),
+                    [this]
+                    {
+                        this->isolate_placer();
+                    });
+    }
+    this->until(isolation_period,
+                [this]
+                {
+                    this->draw_isolation();
+                });
 }
 
 void trouble::next()
 {
     double const gap = -std::log(1.0 - this->shared.draw(0.0, 0.999)) * 1000.0 /
                        faults_a_second;
-    this->shared.after(
-        milliseconds(static_cast<std::int64_t>(gap)),
-        [this]
-        {
-            if (this->healed)
-            {
-                return;
-            }
-            int sum = 0;
-            for (kind const& each : kinds())
-            {
-                sum += each.weight;
-            }
-            int at = this->shared.draw_int(1, sum);
-            for (kind const& each : kinds())
-            {
-                at -= each.weight;
-                if (at <= 0)
-                {
-                    this->shared.report.faults.push_back(
-                        std::to_string(
-                            (steady_now() - this->shared.began).count()) +
-                        " ms: " + each.name);
-                    (this->*each.strike)();
-                    break;
-                }
-            }
-            this->next();
-        });
+    this->shared.after(milliseconds(static_cast<std::int64_t>(gap)),
+                       [this]
+                       {
+                           if (this->healed)
+                           {
+                               return;
+                           }
+                           int sum = 0;
+                           for (kind const& each : kinds())
+                           {
+                               sum += each.weight;
+                           }
+                           int at = this->shared.draw_int(1, sum);
+                           for (kind const& each : kinds())
+                           {
+                               at -= each.weight;
+                               if (at <= 0)
+                               {
+                                   this->note(each.name);
+                                   (this->*each.strike)();
+                                   break;
+                               }
+                           }
+                           this->next();
+                       });
 }
 
 void trouble::heal()
@@ -92,10 +117,16 @@
     this->healed = true;
     this->of_store = {};
     this->all.store.set_faults({});
-    for (std::unique_ptr<daemon_seat>& each : this->all.daemons.seats)
+    this->end_isolation();
+    for (std::size_t k = 0; k < this->all.daemons.seats.size(); ++k)
     {
-        each->to_store->set_mode(relay_mode::pass);
-        each->to_store->set_delay(milliseconds{0});
+        daemon_seat& seat = *this->all.daemons.seats[k];
+        seat.to_store->set_mode(relay_mode::pass);
+        seat.to_store->set_delay(milliseconds{0});
+        if (seat.paused)
+        {
+            this->all.daemons.wake(k);
+        }
     }
     for (std::shared_ptr<relay>& each : this->all.to_workers)
     {
@@ -121,6 +152,15 @@
     return this->shared.draw_int(0, this->all.workers.size() - 1);
 }
 
+std::vector<int> trouble::draw_workers(int count)
+{
+    std::vector<int> out(static_cast<std::size_t>(this->all.workers.size()));
+    std::iota(out.begin(), out.end(), 0);
+    std::shuffle(out.begin(), out.end(), this->shared.random);
+    out.resize(std::min(out.size(), static_cast<std::size_t>(count)));
+    return out;
+}
+
 relay& trouble::any_store_way()
 {
     return *this->all.daemons.seats[this->any_daemon()]->to_store;
@@ -136,6 +176,12 @@
     return milliseconds(this->shared.draw_int(low, high));
 }
 
+milliseconds trouble::long_span(int low, int high, int longest)
+{
+    return this->shared.chance(1.0 / 3.0) ? this->span(high, longest)
+                                          : this->span(low, high);
+}
+
 void trouble::until(milliseconds later, std::function<void()> const& undo)
 {
     this->shared.after(later,
@@ -184,7 +230,8 @@
 
 void trouble::pause_one()
 {
-    this->all.daemons.pause(this->any_daemon(), this->span(200, 5000));
+    this->all.daemons.pause(this->any_daemon(),
+                            this->long_span(200, 5000, 14'000));
 }
 
 void trouble::hang_up()
@@ -198,7 +245,7 @@
 {
     this->of_store.refuses = true;
     this->all.store.set_faults(this->of_store);
-    this->until(this->span(300, 4000),
+    this->until(this->long_span(300, 4000, 13'000),
                 [this]
                 {
                     this->of_store.refuses = false;
@@ -261,7 +308,7 @@
                                     relay_mode::refuse};
     relay& way = this->any_store_way();
     way.set_mode(modes[this->shared.draw_int(0, 2)]);
-    this->until(this->span(300, 5000),
+    this->until(this->long_span(300, 5000, 14'000),
                 [&way]
                 {
                     way.set_mode(relay_mode::pass);
@@ -288,7 +335,7 @@
                                     relay_mode::refuse};
     relay& way = this->any_worker_way();
     way.set_mode(modes[this->shared.draw_int(0, 2)]);
-    this->until(this->span(300, 9000),
+    this->until(this->long_span(300, 9000, 14'000),
                 [&way]
                 {
                     way.set_mode(relay_mode::pass);
@@ -327,11 +374,102 @@
                 });
 }
 
+/** The placer has no store, but alone reaches some workers. */
+void trouble::isolate_placer()
+{
+    constexpr milliseconds retry{200};
+    std::optional<std::size_t> const placer =
+        this->all.daemons.placer(this->all.store);
+    if (!placer || this->isolated)
+    {
+        this->until(retry,
+                    [this]
+                    {
+                        this->isolate_placer();
+                    });
+        return;
+    }
+    std::uint64_t const epoch =
+        std::stoull(this->all.store.value("cell/epoch"));
+    std::size_t const daemons = this->all.daemons.seats.size();
+    bool const all_but_one = daemons > 1 && this->shared.chance(0.5);
+    bool const no_other_worker = this->shared.chance(0.5);
+    bool const restart = this->shared.chance(0.4);
+    milliseconds const lasts = this->span(8000, 22'000);
+    std::vector<int> const alone =
+        this->draw_workers(this->shared.draw_int(1, 3));
+
+    this->isolated = true;
+    // The one that keeps the store isn't the placer.
+    std::size_t const spared =
+        (*placer + static_cast<std::size_t>(this->shared.draw_int(
+                       1, std::max(1, static_cast<int>(daemons) - 1)))) %
+        daemons;
+    for (std::size_t k = 0; k < daemons; ++k)
+    {
+        bool const cut = k == *placer || (all_but_one && k != spared);
+        this->all.daemons.seats[k]->to_store->set_cut(cut);
+    }
+    if (no_other_worker)
+    {
+        for (std::shared_ptr<relay>& each : this->all.to_workers)
+        {
+            each->set_epochs({.lowest = epoch + 1});
+        }
+    }
+    std::string numbers;
+    for (int which : alone)
+    {
+        this->all.to_workers[static_cast<std::size_t>(which)]->set_epochs(
+            {.highest = epoch});
+        numbers += " " + std::to_string(which);
+    }
+    this->note("isolate_placer " + this->all.daemons.seats[*placer]->name +
+               ", epoch " + std::to_string(epoch) + ", " +
+               std::to_string(lasts.count()) + " ms, workers" + numbers +
+               (no_other_worker ? " only" : "") +
+               (all_but_one
+                    ? ", store left to " + this->all.daemons.seats[spared]->name
+                    : "") +
+               (restart ? ", restarts" : ""));
+    if (restart)
+    {
+        this->until(lasts / 2,
+                    [this, alone]
+                    {
+                        for (int which : alone)
+                        {
+                            this->all.workers.crash(which, this->span(1, 120));
+                        }
+                    });
+    }
+    this->until(lasts,
+                [this]
+                {
+                    this->end_isolation();
+                });
+}
+
+void trouble::end_isolation()
+{
+    this->isolated = false;
+    for (std::unique_ptr<daemon_seat>& each : this->all.daemons.seats)
+    {
+        each->to_store->set_cut(false);
+    }
+    for (std::shared_ptr<relay>& each : this->all.to_workers)
+    {
+        each->set_epochs({});
+    }
+}
+
 // ---- workers
 
 void trouble::crash_worker()
 {
-    this->all.workers.crash(this->any_worker(), this->span(50, 8000));
+    milliseconds const away =
+        this->shared.chance(0.5) ? this->span(1, 120) : this->span(50, 8000);
+    this->all.workers.crash(this->any_worker(), away);
 }
 
 void trouble::drain_worker()
--- a/libs/soak/src/trouble.hpp
+++ b/libs/soak/src/trouble.hpp
@@ -36,12 +36,18 @@
     static std::vector<kind> const& kinds();
 
     void next();
+    /** Decides whether this stretch of the load isolates a placer. */
+    void draw_isolation();
+    void note(std::string const& what);
     std::size_t any_daemon();
     int any_worker();
+    std::vector<int> draw_workers(int count);
     /** Also the worker's relay, by number. */
     relay& any_store_way();
     relay& any_worker_way();
     milliseconds span(int low, int high);
+    /** From low to high, in a third of the draws from high to longest. */
+    milliseconds long_span(int low, int high, int longest);
     /** Undoes a fault later, unless everything was healed before. */
     void until(milliseconds later, std::function<void()> const& undo);
 
@@ -62,6 +68,8 @@
     void cut_worker();
     void worker_connections();
     void slow_way();
+    void isolate_placer();
+    void end_isolation();
     void crash_worker();
     void drain_worker();
     void worker_fails();
@@ -73,6 +81,7 @@
     targets all;
     platform::standin::store_faults of_store;
     bool healed = false;
+    bool isolated = false; //!< a placer, at present
 };
 
 } // namespace cicada::soak
