--- a/libs/soak/src/trouble.cpp
+++ b/libs/soak/src/trouble.cpp
@@ -196,22 +196,40 @@
 
 // ---- daemons
 
+// An isolated placer goes on to the end of its isolation.
+
+void trouble::kill(std::size_t which, milliseconds away)
+{
+    if (this->isolated != which)
+    {
+        this->all.daemons.kill(which, away);
+    }
+}
+
+void trouble::stop(std::size_t which)
+{
+    if (this->isolated != which)
+    {
+        this->all.daemons.stop(which);
+    }
+}
+
 void trouble::kill_one()
 {
-    this->all.daemons.kill(this->any_daemon(), this->span(100, 2500));
+    this->kill(this->any_daemon(), this->span(100, 2500));
 }
 
 void trouble::kill_all()
 {
     for (std::size_t k = 0; k < this->all.daemons.seats.size(); ++k)
     {
-        this->all.daemons.kill(k, this->span(100, 1000));
+        this->kill(k, this->span(100, 1000));
     }
 }
 
 void trouble::stop_one()
 {
-    this->all.daemons.stop(this->any_daemon());
+    this->stop(this->any_daemon());
 }
 
 void trouble::stop_in_turn()
@@ -222,7 +240,7 @@
         this->until(pause,
                     [this, k]
                     {
-                        this->all.daemons.stop(k);
+                        this->stop(k);
                     });
         pause += this->span(300, 1500);
     }
@@ -399,7 +417,7 @@
     std::vector<int> const alone =
         this->draw_workers(this->shared.draw_int(1, 3));
 
-    this->isolated = true;
+    this->isolated = placer;
     // The one that keeps the store isn't the placer.
     std::size_t const spared =
         (*placer + static_cast<std::size_t>(this->shared.draw_int(
@@ -452,7 +470,7 @@
 
 void trouble::end_isolation()
 {
-    this->isolated = false;
+    this->isolated.reset();
     for (std::unique_ptr<daemon_seat>& each : this->all.daemons.seats)
     {
         each->to_store->set_cut(false);
--- a/libs/soak/src/trouble.hpp
+++ b/libs/soak/src/trouble.hpp
@@ -51,6 +51,8 @@
     /** Undoes a fault later, unless everything was healed before. */
     void until(milliseconds later, std::function<void()> const& undo);
 
+    void kill(std::size_t which, milliseconds away);
+    void stop(std::size_t which);
     void kill_one();
     void kill_all();
     void stop_one();
@@ -81,7 +83,7 @@
     targets all;
     platform::standin::store_faults of_store;
     bool healed = false;
-    bool isolated = false; //!< a placer, at present
+    std::optional<std::size_t> isolated; //!< the placer's number
 };
 
 } // namespace cicada::soak
