Start accepted short steps though one daemon's calls for advice are scarce

Cause: the one daemon serves one call for advice at a time. - A short call that found it busy for over 108 ms was put off, while a long call of a later step was taken up to 120 ms, so long calls passed waiting short ones. - Steps that are past three times their objective came last for good. - Admission counted the work of the cores only.

Now a long call isn't made in a pass in which an earlier short one was put off. Steps without value that hold no tickets are due half a millisecond of requester time for each one that other steps use, short calls first. Among them, those with tickets are placed first. The wait reported for admission is at least the time of the calls of steps without valid tickets, up to the job's priority, divided by the requesters.

--- a/libs/batch/src/admission.cpp
+++ b/libs/batch/src/admission.cpp
@@ -9,7 +9,9 @@
 {
 
 constexpr std::size_t reported_priorities = 4;
-constexpr double packable_share = 0.85;      //!< usable share of all cores
+constexpr double packable_share = 0.85; //!< usable share of all cores
+/** Allows for a second call of each step: tickets may expire unused. */
+constexpr double calls_per_step = 2.0;
 constexpr milliseconds min_retry_after{500}; //!< sent as Retry-After
 constexpr milliseconds max_retry_after{10'000};
 
@@ -38,6 +40,30 @@
     }
 }
 
+/**
+ * Adds the milliseconds of the advice calls that the job's steps have yet to
+ * make, to the queue's priority and all after it. Late steps count too: they
+ * still use the requesters.
+ */
+void add_waiting_calls(job_record const& j,
+                       instant now,
+                       std::vector<double>& by_priority)
+{
+    double const each_ms = first_call_ms(j.accepted) * calls_per_step;
+    double calls_ms = 0.0;
+    for (step_record const& step : j.steps)
+    {
+        calls_ms +=
+            step.waiting > 0 && step.tickets_until <= now ? each_ms : 0.0;
+    }
+    std::size_t const priority =
+        static_cast<std::size_t>(std::max(0, j.accepted.queue.priority));
+    for (std::size_t k = priority; k < by_priority.size(); ++k)
+    {
+        by_priority[k] += calls_ms;
+    }
+}
+
 /** Returns how long after submission the job can start and still be in time. */
 milliseconds start_slack(job const& given)
 {
@@ -116,6 +142,7 @@
         }
     }
     std::vector<double> work(reported_priorities, 0.0);
+    std::vector<double> calls_ms(reported_priorities, 0.0);
     for (std::string const& id : state.active_jobs)
     {
         job_record const& j = state.jobs.at(id);
@@ -124,11 +151,17 @@
             report.pending[j.accepted.queue.name] += 1;
         }
         add_waiting_work(j, state.now, work);
+        add_waiting_calls(j, state.now, calls_ms);
     }
-    for (double each : work)
+    double const requesters = static_cast<double>(state.requesters.size());
+    for (std::size_t i = 0; i < work.size(); ++i)
     {
-        double const wait = cores > 0.0 ? each / (cores * packable_share) : 0.0;
-        report.wait.emplace_back(static_cast<std::int64_t>(wait));
+        double const for_cores =
+            cores > 0.0 ? work[i] / (cores * packable_share) : 0.0;
+        double const for_calls =
+            requesters > 0.0 ? calls_ms[i] / requesters : 0.0;
+        report.wait.emplace_back(
+            static_cast<std::int64_t>(std::max(for_cores, for_calls)));
     }
     return report;
 }
--- a/libs/batch/src/advice.cpp
+++ b/libs/batch/src/advice.cpp
@@ -22,6 +22,13 @@
 constexpr milliseconds max_requester_wait{120};
 /** One daemon in this many is reserved for short calls. */
 constexpr std::size_t short_call_divisor = 4;
+/** Requester time that steps of `worthless_rank` are due for each millisecond
+ * that other steps use: accepted steps must start in the end, even if more
+ * valuable ones always wait. */
+constexpr double worthless_time_ratio = 0.5;
+constexpr double max_worthless_credit_ms = 1000.0;
+/** Expected time of a first call in units of its fixed time. */
+constexpr double first_call_factor = 1.25;
 constexpr double prior_allowed_share = 0.4; //!< estimate before any answer
 constexpr double prior_weight = 20.0;       //!< workers the estimate counts as
 
@@ -70,8 +77,15 @@
             best_wait = wait;
         }
     }
+    if (!long_call)
+    {
+        s.short_call_denied = s.short_call_denied || best == s.requesters.end();
+        return best;
+    }
+    // Steps come in the order of placement: a long call must not take what an
+    // earlier step with a short call waits for.
     bool const busy = idle * 2 < s.requesters.size() - reserved;
-    return late && long_call && busy ? s.requesters.end() : best;
+    return s.short_call_denied || (late && busy) ? s.requesters.end() : best;
 }
 
 } // namespace
@@ -90,6 +104,13 @@
            (prior_weight + seen.asked);
 }
 
+double first_call_ms(job const& given)
+{
+    return given.queue.advice
+               ? given.queue.advice->decision_ms * first_call_factor
+               : 0.0;
+}
+
 bool call_advisor(scheduler& s,
                   job_record& j,
                   int step,
@@ -110,6 +131,13 @@
     {
         return false;
     }
+    int const rank = placement_rank(j, static_cast<std::size_t>(step), s.now);
+    s.worthless_call_credit_ms =
+        rank == worthless_rank
+            ? std::max(0.0, s.worthless_call_credit_ms - cost)
+            : std::min(max_worthless_credit_ms,
+                       s.worthless_call_credit_ms +
+                           cost * worthless_time_ratio);
     milliseconds const span(static_cast<std::int64_t>(std::ceil(cost)));
     requester->second.free_at =
         std::max(requester->second.free_at, s.now) + span;
@@ -149,6 +177,7 @@
     record.advice_call = 0;
     record.advice_workers.clear();
     s.placement_due = true;
+    record.tickets_until = s.now + answer.validity;
     if (!answer.answered)
     {
         record.next_advice_call = s.now + retry_delay;
--- a/libs/batch/src/placing.cpp
+++ b/libs/batch/src/placing.cpp
@@ -23,12 +23,19 @@
 /** With at most this many waiting steps, every pass visits all of them. */
 constexpr std::size_t full_pass_step_limit = 30;
 
+/** Steps without value whose calls for advice are due in a pass. */
+constexpr std::size_t max_due_steps_per_pass = 20;
+
 constexpr std::chrono::microseconds visit_interval_per_worker{50};
 
 auto placement_order(waiting_step const& step)
 {
-    return std::tie(
-        step.rank, step.latest_start, step.j->accepted.id, step.step);
+    return std::tie(step.rank,
+                    step.no_tickets,
+                    step.call_ms,
+                    step.latest_start,
+                    step.j->accepted.id,
+                    step.step);
 }
 
 std::vector<waiting_step> waiting_steps(scheduler& s)
@@ -53,6 +60,11 @@
             w.rank = placement_rank(j, i, s.now);
             w.latest_start = latest_start(j, i);
             w.late = w.latest_start < s.now;
+            if (w.rank == worthless_rank)
+            {
+                w.no_tickets = j.steps[i].tickets_until <= s.now;
+                w.call_ms = first_call_ms(j.accepted);
+            }
             all.push_back(w);
         }
     }
@@ -166,6 +178,45 @@
     s.later_steps_visited = (s.later_steps_visited + count) % later;
 }
 
+/**
+ * Lets steps without value that hold no tickets call the advisor before the
+ * others, as far as requester time is due to them. Otherwise, steps that keep
+ * renewing their tickets could delay them for good.
+ */
+void request_due_advice(scheduler& s,
+                        std::vector<waiting_step> const& steps,
+                        free_capacity& capacity)
+{
+    auto const first =
+        std::partition_point(steps.begin(),
+                             steps.end(),
+                             [](waiting_step const& each)
+                             {
+                                 return each.rank < worthless_rank;
+                             });
+    if (first == steps.end())
+    {
+        s.worthless_call_credit_ms = 0.0;
+    }
+    if (first == steps.begin())
+    {
+        return;
+    }
+    std::size_t visited = 0;
+    for (auto each = first;
+         each != steps.end() && visited < max_due_steps_per_pass &&
+         s.worthless_call_credit_ms >= each->call_ms && !s.short_call_denied;
+         ++each)
+    {
+        if (each->call_ms > 0.0 && each->no_tickets &&
+            may_call_advisor(s, each->record()))
+        {
+            place_step(s, *each, capacity);
+            visited += 1;
+        }
+    }
+}
+
 } // namespace
 
 milliseconds visit_interval(scheduler const& s)
@@ -196,6 +247,8 @@
     {
         s.next_full_pass = s.now + full_pass_interval;
     }
+    s.short_call_denied = false;
+    request_due_advice(s, steps, capacity);
     std::size_t const most = std::min(steps.size(), max_steps_per_pass);
     for (std::size_t i = 0; i < most; ++i)
     {
--- a/libs/batch/src/placing.hpp
+++ b/libs/batch/src/placing.hpp
@@ -15,6 +15,10 @@
     int rank = 0;         //!< lower is placed first
     bool late = false;    //!< the objective is estimated to be out of reach
     instant latest_start; //!< estimated latest start that meets the objective
+    /** Among steps without value: those with tickets come first, then those
+     * with the shortest calls for advice. */
+    bool no_tickets = false;
+    double call_ms = 0.0;
 
     task_step const& shape() const
     {
--- a/libs/batch/src/state.hpp
+++ b/libs/batch/src/state.hpp
@@ -137,6 +137,7 @@
     std::uint64_t advice_call = 0;             //!< the pending call; 0: none
     std::vector<std::uint32_t> advice_workers; //!< workers in that call
     instant next_advice_call;
+    instant tickets_until; //!< the last answer's tickets have expired then
     /** Length of the longest chain that begins with this step. */
     milliseconds remaining_chain{0};
 };
@@ -197,6 +198,10 @@
     std::set<std::string> active_jobs;     //!< jobs that have not ended
     std::map<std::string, requester_record> requesters;
     std::uint64_t advice_calls = 0;
+    /** A short call found every requester busy in this placement pass. */
+    bool short_call_denied = false;
+    /** Requester time that is due to steps of `worthless_rank`. */
+    double worthless_call_credit_ms = 0.0;
     std::map<std::string, advice_share> advice_shares; //!< by queue
     std::uint64_t changes = 0;
     /** The first unsaved change of each job. */
@@ -357,6 +362,9 @@
                   int step,
                   std::vector<worker_record const*> const& workers,
                   bool late);
+/** Returns the estimated time of a step's first advice call, or 0 if its queue
+ * needs no advice. */
+double first_call_ms(job const& given);
 /** Returns the estimated share of workers that the advisor allows for the job's
  * queue. */
 double allowed_share(scheduler const& s, job_record const& j);
--- a/libs/batch/tests/advice_load_test.cpp
+++ b/libs/batch/tests/advice_load_test.cpp
@@ -73,6 +73,11 @@
         this->feed(job_stored{made, {}, 0});
     }
 
+    load_report load() const
+    {
+        return load_of(*this->scheduler);
+    }
+
     /** Returns the time from submission to end of each job with this prefix. */
     std::vector<milliseconds> times(std::string const& prefix) const
     {
@@ -180,7 +185,7 @@
                                                order.token,
                                                order_outcome::done});
                  });
-        milliseconds const span = order.task.job[0] == 'w' ? work * 4 : work;
+        milliseconds const span = order.task.job[0] == 'u' ? work : work * 4;
         this->at(this->now + round_trip + span,
                  [this, order]
                  {
@@ -218,13 +223,16 @@
     void carry_out(request_advice const& call)
     {
         bool const wide = call.job[0] == 'w';
-        milliseconds const cost(
-            wide ? 442 + static_cast<std::int64_t>(call.workers.size()) * 6
-                 : 9 + static_cast<std::int64_t>(call.workers.size()) / 8);
+        bool const recheck = call.job[0] == 'r';
+        std::int64_t const named =
+            static_cast<std::int64_t>(call.workers.size());
+        milliseconds const cost(wide      ? 442 + named * 6
+                                : recheck ? 66 + named
+                                          : 9 + named / 8);
         instant& free_at = this->free_at_by_requester[call.requester];
         free_at = std::max(free_at, this->now) + cost;
         this->at(free_at + round_trip,
-                 [this, call, wide]
+                 [this, call, wide, recheck]
                  {
                      advice_answered event;
                      event.call = call.call;
@@ -238,7 +246,7 @@
                      {
                          std::size_t const drawn =
                              std::hash<std::string>()(call.job + each) % 100;
-                         if (drawn < (wide ? 25u : 70u))
+                         if (drawn < (wide ? 25u : recheck ? 45u : 70u))
                          {
                              event.allowed.push_back({each, "t"});
                          }
@@ -387,5 +395,67 @@
         return std::string(info.param.name);
     });
 
+job make_recheck(std::string const& id)
+{
+    job made = make_job(id, true, false, 2);
+    made.queue.name = "recheck";
+    made.queue.priority = 2;
+    made.queue.slack_factor = 4.0;
+    made.queue.target = milliseconds{3000};
+    made.queue.advice = advice_terms{66.0, 0.94, milliseconds{1500}};
+    made.steps.front().count = 10;
+    return made;
+}
+
+/** One daemon is left. The calls for advice of all jobs take about twice the
+ * time that it has, while most cores are idle. */
+TEST(one_requester, starts_all_accepted_short_steps_after_a_load)
+{
+    loaded_cell cell(1);
+    for (int ms = 0; ms < 30'000; ms += 25)
+    {
+        if (ms % 600 == 0)
+        {
+            cell.submit(make_job("w" + std::to_string(ms), true, false, 9));
+        }
+        if (ms % 175 == 0)
+        {
+            cell.submit(make_recheck("r" + std::to_string(ms)));
+        }
+        cell.submit(make_job("u" + std::to_string(ms), false, ms % 75 == 0, 0));
+        cell.run(milliseconds{25});
+    }
+    constexpr milliseconds bound{14'000};
+    cell.run(bound);
+    EXPECT_EQ(cell.times("u").size(),
+              static_cast<std::size_t>(cell.submitted("u")));
+}
+
+/** Returns whether a short job is admitted after 200 others arrived at once:
+ * their calls for advice take about two seconds of requester time. */
+admission admit_after_short_jobs(int requesters)
+{
+    loaded_cell cell(requesters);
+    for (int k = 0; k < 200; ++k)
+    {
+        job small = make_job("u" + std::to_string(k), false, false, 0);
+        small.steps.front().size.milli_cores = 1000; // cores don't delay it
+        cell.submit(small);
+    }
+    return admit(make_job("u", false, false, 0), cell.load().wait);
+}
+
+TEST(one_requester, refuses_short_jobs_that_its_calls_cannot_keep_up_with)
+{
+    admission const decision = admit_after_short_jobs(1);
+    EXPECT_FALSE(decision.accepted);
+    EXPECT_GE(decision.retry_after, milliseconds{500});
+}
+
+TEST(nine_requesters, accept_the_same_short_jobs)
+{
+    EXPECT_TRUE(admit_after_short_jobs(9).accepted);
+}
+
 } // namespace
 } // namespace cicada::batch
