--- a/libs/soak/src/trouble.cpp
+++ b/libs/soak/src/trouble.cpp
@@ -411,7 +411,7 @@
         std::stoull(this->all.store.value("cell/epoch"));
     std::size_t const daemons = this->all.daemons.seats.size();
     bool const all_but_one = daemons > 1 && this->shared.chance(0.5);
-    bool const no_other_worker = this->shared.chance(0.5);
+    bool const no_other_worker = this->shared.chance(0.75);
     bool const restart = this->shared.chance(0.4);
     milliseconds const lasts = this->span(8000, 22'000);
     std::vector<int> const alone =
