--- a/libs/batch/src/state.hpp
+++ b/libs/batch/src/state.hpp
@@ -192,14 +192,16 @@
     bool list_complete = false;
     bool settled = false;
     bool stopped = false;
+    bool claim_check_pending = false;
+    bool led = false; //!< as last logged
+    /** A short call found every requester busy in this placement pass. */
+    bool short_call_denied = false;
     std::map<std::string, worker_record> workers;
     std::map<std::string, job_record> jobs;
     std::set<std::string> cancelled_early; //!< before the job was known
     std::set<std::string> active_jobs;     //!< jobs that have not ended
     std::map<std::string, requester_record> requesters;
     std::uint64_t advice_calls = 0;
-    /** A short call found every requester busy in this placement pass. */
-    bool short_call_denied = false;
     /** Requester time that is due to steps of `worthless_rank`. */
     double worthless_call_credit_ms = 0.0;
     std::map<std::string, advice_share> advice_shares; //!< by queue
@@ -228,11 +230,9 @@
     milliseconds list_lag{0};
     /** When the latest check of the claim was sent that confirmed it. */
     instant claim_confirmed_at;
-    bool claim_check_pending = false;
     instant next_claim_check;
     instant next_awaited_claim_check; //!< while a worker waits for one
     instant leads_until;
-    bool led = false; //!< as last logged
     /** When more than half of the former roster's workers had answered this
      * placer's token. */
     std::optional<instant> succeeded_at;
--- a/libs/membership/include/membership/membership.hpp
+++ b/libs/membership/include/membership/membership.hpp
@@ -13,7 +13,9 @@
  * under its lease, with an epoch that only grows. A placer whose lease has
  * expired continues until another daemon has a higher epoch, so that an outage
  * of the store doesn't stop placement: workers reject orders with an older
- * epoch. A pure state machine: no I/O, no clock. Not thread-safe.
+ * epoch, and the scheduler ends its orders if it reaches neither the store nor
+ * most workers (batch). A pure state machine: no I/O, no clock. Not
+ * thread-safe.
  */
 namespace cicada::membership
 {
