--- a/libs/soak/src/relay.cpp
+++ b/libs/soak/src/relay.cpp
@@ -1,11 +1,11 @@
 #include "relay.hpp"
+#include "platform_standin/platform_standin.hpp"
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 
 #include <array>
-#include <charconv>
 
 namespace cicada::soak
 {
@@ -18,7 +18,6 @@
 {
 
 constexpr std::size_t chunk_bytes = std::size_t{16} << 10;
-constexpr std::string_view token_field = "\"fencing-token\":";
 constexpr std::uint64_t tokens_per_epoch = 1024;
 
 void reset(tcp::socket& socket)
@@ -35,23 +34,8 @@
 
 } // namespace
 
-std::optional<std::uint64_t> read_epoch(std::string_view chunk)
+std::uint64_t epoch_of(std::uint64_t token)
 {
-    std::size_t const at = chunk.find(token_field);
-    if (at == std::string_view::npos)
-    {
-        return std::nullopt;
-    }
-    std::string_view const rest = chunk.substr(at + token_field.size());
-    char const* const end = rest.data() + rest.size();
-    std::uint64_t token = 0;
-    std::from_chars_result const read =
-        std::from_chars(rest.data(), end, token);
-    // Digits at the chunk's end may go on in the next one.
-    if (read.ec != std::errc{} || read.ptr == end)
-    {
-        return std::nullopt;
-    }
     return token / tokens_per_epoch;
 }
 
@@ -116,9 +100,9 @@
         bool const request = &from == &this->near;
         if (request)
         {
-            std::optional<std::uint64_t> const read =
-                read_epoch({from.chunk.data(), size});
-            this->epoch = read ? read : this->epoch;
+            std::optional<std::uint64_t> const token =
+                platform::standin::read_token({from.chunk.data(), size});
+            this->epoch = token ? epoch_of(*token) : this->epoch;
         }
         if (this->epoch && !holds(this->owner->epochs, *this->epoch))
         {
--- a/libs/soak/src/relay.hpp
+++ b/libs/soak/src/relay.hpp
@@ -10,7 +10,6 @@
 #include <memory>
 #include <optional>
 #include <set>
-#include <string_view>
 
 /** A loopback proxy that harms the connections that pass through it. */
 namespace cicada::soak
@@ -33,9 +32,8 @@
     bool operator==(epoch_range const&) const = default;
 };
 
-/** The epoch of the placer that sent a request to a worker; none if the chunk
- * holds no whole fencing token. */
-std::optional<std::uint64_t> read_epoch(std::string_view chunk);
+/** Returns the epoch of the placer that made the fencing token. */
+std::uint64_t epoch_of(std::uint64_t token);
 
 class relay : public std::enable_shared_from_this<relay>
 {
