--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -7,4 +7,4 @@
   echo "build the daemon with the deploy file, then run review/build-2.sh" >&2
   exit 2
 fi
-exec review/bin-2/play born review/6 target/bin/cicada_cell
+exec review/bin-2/play settle review/6 target/bin/cicada_cell
