--- a/review/standin-2/cell.cc
+++ b/review/standin-2/cell.cc
@@ -114,7 +114,7 @@
     this->at = opened.assume_value();
 }
 
-void executor::begin_life(std::int64_t clock_off_ms)
+void executor::begin_life(std::int64_t clock_off_ms, std::int64_t entry_ms)
 {
     this->life += 1;
     this->running = true;
@@ -129,7 +129,11 @@
     this->finished.clear();
     this->end_of.clear();
     this->listen();
-    this->beat();
+    this->next_beat = steady_ms() + entry_ms;
+    if (entry_ms == 0)
+    {
+        this->beat();
+    }
     this->all.log("executor " + this->name + " begins life " +
                   std::to_string(this->life) + " born=" +
                   std::to_string(this->born) + " kind=" + this->kind);
@@ -145,6 +149,19 @@
                     });
 }
 
+void executor::return_as(milliseconds away,
+                         std::string other,
+                         std::int64_t entry_ms)
+{
+    this->leave_for_good();
+    this->all.after(away.count(),
+                    [this, other = std::move(other), entry_ms]
+                    {
+                        this->kind = other;
+                        this->begin_life(0, entry_ms);
+                    });
+}
+
 void executor::leave_for_good()
 {
     this->running = false;
@@ -717,6 +734,13 @@
 
 void world::judge_start(std::string const& task, executor const& on)
 {
+    std::string const label = this->label_of ? this->label_of(task) : "";
+    if (!label.empty() && label != on.kind_of())
+    {
+        this->broken("ROUTE",
+                     "start of " + task + ", which requires " + label +
+                         ", on " + on.id() + " of kind " + on.kind_of());
+    }
     for (run_seen const& each : this->runs[task])
     {
         if (each.ended == 0)
--- a/review/standin-2/cell.h
+++ b/review/standin-2/cell.h
@@ -75,6 +75,8 @@
     // Loses everything, closes its connections, and is back after `away`; its
     // next `born` is the time of day plus `clock_off_ms`.
     void crash(milliseconds away, std::int64_t clock_off_ms);
+    // Back as another kind; the entry is written `entry_ms` after the start.
+    void return_as(milliseconds away, std::string kind, std::int64_t entry_ms);
     // Leaves for good; the entry lapses after three heartbeats.
     void leave_for_good();
     void beat();
@@ -100,7 +102,7 @@
         cicada::http_responder answer;
     };
 
-    void begin_life(std::int64_t clock_off_ms);
+    void begin_life(std::int64_t clock_off_ms, std::int64_t entry_ms = 0);
     void listen();
     void serve(cicada::http_request const& request,
                cicada::http_responder const& answer);
@@ -212,6 +214,7 @@
     std::function<std::optional<work>(std::string const& task, int nth_run)>
         truth;
     std::map<std::string, int> max_attempts; // by job
+    std::function<std::string(std::string const& task)> label_of; // required
     std::function<int(std::string const& task)> cpu_of;
     // Which tasks' runs go into the record; unset: all.
     std::function<bool(std::string const& task)> logged;
@@ -233,6 +236,7 @@
 int case_run_numbers(cell_settings settings, bool trouble);
 int case_attempts(cell_settings settings, bool trouble);
 int case_born(cell_settings settings, bool trouble);
+int case_new_kind(cell_settings settings, bool trouble);
 int case_settle(cell_settings settings, bool trouble);
 int case_reserved(cell_settings settings, bool trouble);
 int case_hopeless(cell_settings settings, bool trouble);
--- a/review/standin-2/main.cc
+++ b/review/standin-2/main.cc
@@ -34,6 +34,10 @@
     {
         return review::case_reserved(settings, trouble);
     }
+    if (which == "new-kind")
+    {
+        return review::case_new_kind(settings, trouble);
+    }
     if (which == "settle")
     {
         return review::case_settle(settings, trouble);
