Weigh failed runs against the job before workers are excluded

Cause: the second failed run in a row excluded a worker for all jobs, for 1 s a failure and up to 5 s, whichever job the runs belonged to, and nothing limited how many workers were excluded at once. Placer's log of the former code: event 616 goes from workers=8 to workers=0 for four seconds with 20 steps waiting; all failed runs (617) are of one job; no poll failed (401).

Ruled out: polls without an answer, old clocks, advice, a gang's reservation.

Change: a job counts once against a worker, divided by the workers on which it has failed, at the time of the decision; at most a third of the workers of one service and kind is excluded and the other doubted ones come last; a job prefers workers where it hasn't failed, for 1 to 2 s. A worker that answers "busy" is excluded for 1 s as before.

Why it works: a job that fails on K workers is 1/K evidence against each, so a wide hopeless job excludes none; whatever the evidence, two thirds stay in use.

The test on the former code: jobs_that_fail_everywhere.leave_the_workers_to_other_jobs, 4 of 4 cases Value of: this->starts["sound"].empty() Actual: true Expected: false fleet_of_workers.spreads_the_attempts_of_a_job used.size() Which is: 2, expected 4 All pass now. workers_that_fail_everything holds before and after; with the exclusion taken out 30, 38 and 100 of 100 jobs use up their attempts.

--- a/libs/batch/src/admission.cpp
+++ b/libs/batch/src/admission.cpp
@@ -132,9 +132,11 @@
     load_report report;
     report.settled = state.settled;
     double cores = 0.0;
+    std::set<std::uint32_t> const excluded = excluded_workers(state);
     for (auto const& entry : state.workers)
     {
-        if (usable(state, entry.second))
+        if (usable(state, entry.second) &&
+            excluded.count(entry.second.number) == 0)
         {
             cores +=
                 static_cast<double>(entry.second.offer.capacity.milli_cores) /
@@ -171,9 +173,11 @@
     std::int64_t capacity = 0;
     std::int64_t used = 0;
     std::size_t workers = 0;
+    std::set<std::uint32_t> const excluded = excluded_workers(state);
     for (auto const& entry : state.workers)
     {
-        if (usable(state, entry.second))
+        if (usable(state, entry.second) &&
+            excluded.count(entry.second.number) == 0)
         {
             capacity += entry.second.offer.capacity.milli_cores;
             used += entry.second.used.milli_cores;
@@ -206,7 +210,8 @@
     }
     std::string text = "workers=" + std::to_string(workers) +
                        " cores=" + std::to_string(capacity / 1000) +
-                       " used=" + std::to_string(used / 1000);
+                       " used=" + std::to_string(used / 1000) +
+                       " excluded=" + std::to_string(excluded.size());
     for (auto const& entry : waiting)
     {
         text += " " + entry.first + "=" + std::to_string(entry.second.steps) +
--- a/libs/batch/src/capacity.cpp
+++ b/libs/batch/src/capacity.cpp
@@ -57,20 +57,61 @@
             rack.empty() || has_label(*worker.w, rack)};
 }
 
+/** Returns whether some worker may run the step, now or later, on which the
+ * job's tasks haven't failed recently. */
+bool has_other_workers(scheduler const& s,
+                       waiting_step const& step,
+                       free_capacity& capacity)
+{
+    std::vector<worker_view*> const allowed = allowed_workers(step, capacity);
+    auto const is_other = [&s, &step](worker_view const& worker)
+    {
+        return !avoids(s, *step.j, *worker.w);
+    };
+    return std::any_of(allowed.begin(),
+                       allowed.end(),
+                       [&is_other](worker_view const* worker)
+                       {
+                           return is_other(*worker);
+                       }) ||
+           std::any_of(capacity.workers.begin(),
+                       capacity.workers.end(),
+                       [&step, &is_other](worker_view const& worker)
+                       {
+                           return awaits_advice(step, worker) &&
+                                  is_other(worker);
+                       });
+}
+
+/** Lets the step use the workers that its job avoids if there are no others. */
+void use_avoided_workers(scheduler const& s,
+                         waiting_step const& step,
+                         free_capacity& capacity,
+                         step_candidates& found)
+{
+    if (!found.avoided.empty() && !has_other_workers(s, step, capacity))
+    {
+        found.ready.insert(
+            found.ready.end(), found.avoided.begin(), found.avoided.end());
+    }
+}
+
 } // namespace
 
 free_capacity gather_free_capacity(scheduler& s)
 {
     free_capacity capacity;
     capacity.workers.reserve(s.workers.size());
+    std::set<std::uint32_t> const excluded = excluded_workers(s);
     for (auto& entry : s.workers)
     {
         worker_record& w = entry.second;
-        if (!usable(s, w))
+        if (!usable(s, w) || excluded.count(w.number) != 0)
         {
             continue;
         }
-        worker_view next{&w, w.offer.capacity - w.used, {}, s.now, false};
+        worker_view next{&w, w.offer.capacity - w.used, {}, s.now};
+        next.doubted = is_doubted(s, w);
         for (auto const& run : w.runs)
         {
             next.free_at = std::max(next.free_at, run.second.expected_end);
@@ -136,13 +177,20 @@
                                 free_capacity& capacity)
 {
     step_candidates found;
-    auto const add = [&step](std::vector<candidate>& into, worker_view& worker)
+    auto const add = [&s, &step, &found](worker_view& worker, bool valid)
     {
         candidate const c = make_candidate(worker, step);
-        if (c.capacity > 0 && !worker.reserved)
+        if (c.capacity == 0 || worker.reserved)
         {
-            into.push_back(c);
+            return;
         }
+        if (!valid)
+        {
+            found.expired.push_back(c);
+            return;
+        }
+        (avoids(s, *step.j, *worker.w) ? found.avoided : found.ready)
+            .push_back(c);
     };
     if (!step.j->accepted.queue.advice)
     {
@@ -150,10 +198,11 @@
         {
             if (is_eligible(*worker.w, step))
             {
-                add(found.ready, worker);
+                add(worker, true);
             }
         }
         found.with_advice = capacity.workers.size();
+        use_avoided_workers(s, step, capacity, found);
         return found;
     }
     auto& advice = step.record().advice;
@@ -172,11 +221,12 @@
             bool const valid = each->second.valid_until > s.now + ticket_margin;
             if (each->second.allowed && is_eligible(*worker->w, step))
             {
-                add(valid ? found.ready : found.expired, *worker);
+                add(*worker, valid);
             }
         }
         ++each;
     }
+    use_avoided_workers(s, step, capacity, found);
     return found;
 }
 
@@ -318,6 +368,10 @@
 
 bool has_more_capacity(candidate const& left, candidate const& right)
 {
+    if (left.worker->doubted != right.worker->doubted)
+    {
+        return right.worker->doubted;
+    }
     return left.capacity != right.capacity ? left.capacity > right.capacity
                                            : left.worker < right.worker;
 }
--- a/libs/batch/src/orders.cpp
+++ b/libs/batch/src/orders.cpp
@@ -190,7 +190,7 @@
         r->next_attempt = s.now + s.settings.resend_interval;
         return;
     case order_outcome::busy:
-        w.avoid_until = s.now + s.settings.poll_wait;
+        w.busy_until = s.now + s.settings.poll_wait;
         break;
     case order_outcome::fenced:
     case order_outcome::refused:
--- a/libs/batch/src/placing.cpp
+++ b/libs/batch/src/placing.cpp
@@ -77,10 +77,14 @@
     return all;
 }
 
-/** Orders candidates near the step's data first, then by ascending free
- * cores. */
+/** Orders candidates that aren't doubted first, then those near the step's
+ * data, then by ascending free cores. */
 bool packs_better(candidate const& left, candidate const& right)
 {
+    if (left.worker->doubted != right.worker->doubted)
+    {
+        return right.worker->doubted;
+    }
     if (left.near != right.near)
     {
         return left.near;
--- a/libs/batch/src/placing.hpp
+++ b/libs/batch/src/placing.hpp
@@ -39,6 +39,7 @@
     resources leaving;     //!< capacity of runs that are being stopped
     instant free_at;       //!< expected end of the last run
     bool reserved = false; //!< for a waiting gang
+    bool doubted = false;  //!< used after all others
 };
 
 /** Free capacity during one pass; each placed step reduces it. */
@@ -69,6 +70,8 @@
 struct step_candidates
 {
     std::vector<candidate> ready;
+    /** Ready, but the job's tasks failed there recently. */
+    std::vector<candidate> avoided;
     std::vector<candidate> expired; //!< allowed, but the ticket has expired
     std::size_t with_advice = 0; //!< workers that the advisor has answered for
 };
@@ -123,8 +126,8 @@
                 std::uint64_t run,
                 worker_view& worker);
 
-/** Orders candidates by descending capacity, so that a gang spans few workers.
- */
+/** Orders candidates by descending capacity, so that a gang spans few workers;
+ * doubted ones come last. */
 bool has_more_capacity(candidate const& left, candidate const& right);
 
 std::string rack_of(worker_record const& w);
--- a/libs/batch/src/runs.cpp
+++ b/libs/batch/src/runs.cpp
@@ -8,10 +8,6 @@
 namespace
 {
 
-/** Added for each consecutive failure of a task on the worker. */
-constexpr milliseconds avoid_span_per_failure{1000};
-constexpr int max_failures_counted = 5;
-
 /**
  * Stops the run that replaced a dropped one: the run was dropped when its
  * worker's lease expired, but a later report shows that it succeeded.
@@ -99,7 +95,7 @@
         j.accepted.steps[static_cast<std::size_t>(end.task.step)].gang;
     if (end.how == run_end::done)
     {
-        w.consecutive_failures = 0;
+        note_success(w);
         int const members = static_cast<int>(
             j.steps[static_cast<std::size_t>(end.task.step)].tasks.size());
         int const first = gang ? 0 : end.task.index;
@@ -113,13 +109,7 @@
     }
     if (end.how == run_end::failed && task->phase != task_phase::done)
     {
-        w.consecutive_failures =
-            std::min(w.consecutive_failures + 1, max_failures_counted);
-        if (w.consecutive_failures > 1)
-        {
-            w.avoid_until =
-                s.now + avoid_span_per_failure * w.consecutive_failures;
-        }
+        note_failure(s, w, j);
         // A gang fails as a whole, so its failures count on its first member.
         fail_task(s,
                   {end.task.job, end.task.step, gang ? 0 : end.task.index},
--- a/libs/batch/src/state.hpp
+++ b/libs/batch/src/state.hpp
@@ -86,8 +86,11 @@
     std::deque<std::pair<std::uint64_t, std::uint64_t>> unsaved_ends;
     /** In the order of their numbers; not acknowledged. */
     std::vector<unknown_end> unknown_ends;
-    instant avoid_until;
-    int consecutive_failures = 0; //!< of tasks on this worker
+    instant busy_until; //!< it has refused an order because it is unhealthy
+    /** The last jobs whose tasks failed here, since a task succeeded. */
+    std::deque<std::string> failed_jobs;
+    int failures = 0; //!< since a task succeeded, up to those that count
+    instant doubted_until;
     resources used;
     int unknown_sizes = 0; //!< runs of unknown size; `used` lacks them
     std::map<task_ref, run_record> runs;
@@ -142,6 +145,13 @@
     milliseconds remaining_chain{0};
 };
 
+/** The failures of one job's tasks on one worker. */
+struct job_failures
+{
+    int count = 0;
+    instant avoid_until; //!< the job prefers other workers until then
+};
+
 struct job_record
 {
     job accepted;
@@ -154,6 +164,7 @@
     instant objective; //!< in time if shown as completed by then
     milliseconds chain{0};
     std::uint64_t next_run = 1;
+    std::map<std::uint32_t, job_failures> failures; //!< by worker number
     /** Revision of the stored progress; 0: none. */
     std::int64_t saved_revision = 0;
 };
@@ -306,6 +317,24 @@
  * when the claim was last confirmed. */
 bool former_placers_have_ended(scheduler const& s);
 
+// ---- doubt.cpp
+//
+// A failed run speaks against its worker or against its job. Which one, only
+// the job's runs on other workers and the worker's runs of other jobs can tell.
+
+void note_failure(scheduler& s, worker_record& w, job_record& j);
+void note_success(worker_record& w);
+/** Returns whether the worker's failures speak against it rather than against
+ * the jobs. */
+bool is_doubted(scheduler const& s, worker_record const& w);
+/** Returns whether the job's tasks failed on the worker recently, so that other
+ * workers are tried first. */
+bool avoids(scheduler const& s, job_record const& j, worker_record const& w);
+/** Returns the numbers of the doubted workers that get no tasks: at most a
+ * third of the usable ones of each service and kind. The others are used after
+ * all workers that aren't doubted. */
+std::set<std::uint32_t> excluded_workers(scheduler const& s);
+
 // ---- runs.cpp
 
 /** Adopts a run that an earlier placer or a late order has started. */
--- a/libs/batch/src/workers.cpp
+++ b/libs/batch/src/workers.cpp
@@ -25,6 +25,7 @@
     w.acknowledged = 0;
     w.unsaved_ends.clear();
     w.unknown_ends.clear();
+    note_success(w); // the failures were those of the former incarnation
     w.truncated = false;
     w.clock_ms = 0;
     if (w.incarnations > 1)
@@ -255,7 +256,7 @@
         w.offer.incarnation == 0 || w.offer.incarnation == w.incarnation;
     return w.listed && w.synced && is_confirmed(s, w) && current_offer &&
            !w.offer.draining && is_recorded(w) && w.unknown_sizes == 0 &&
-           !w.unresponsive && w.avoid_until <= s.now &&
+           !w.unresponsive && w.busy_until <= s.now &&
            s.now < w.clock_read_at + s.settings.poll_wait * 2;
 }
 
