Record workers once they have answered, and wait only for recorded ones

Cause: a placer recorded every listed worker, also one that it had never heard of, and a successor waited for every worker of the list and of the roster. An entry of another writer, at an address where nobody listens, held the takeover until the longest lease was over.

Change: a worker is recorded once it has answered, at the address at which it did; a successor waits for those that an earlier placer recorded.

Why it works: a start needs the stored record, and a record goes only when the worker has no open runs. So a worker without one holds no run of any epoch. One in use whose entry another writer replaces keeps its record and counts.

gets_nothing_before_the_roster_names_it took a worker's new address for recorded before it had answered there; it now answers, and checks besides that the former record stays until then.

--- a/libs/batch/src/roster.cpp
+++ b/libs/batch/src/roster.cpp
@@ -19,7 +19,10 @@
 {
     if (w.listed || has_open_runs(s, w))
     {
-        return is_recorded(w)
+        // A worker that has never answered has had no orders, so a successor
+        // needn't ask it. It may be the entry of another writer.
+        bool const answered = w.answered_at == w.offer.where;
+        return is_recorded(w) || !answered
                    ? std::nullopt
                    : std::optional<roster_change>(
                          {w.offer.id, w.offer.where, w.roster_revision});
@@ -53,7 +56,7 @@
 bool has_open_runs(scheduler const& s, worker_record const& w)
 {
     return !w.runs.empty() || !w.unsaved_ends.empty() || w.truncated ||
-           (!w.synced && !s.settled);
+           (w.of_former_roster && !w.synced && !s.settled);
 }
 
 bool is_recorded(worker_record const& w)
--- a/libs/batch/src/state.hpp
+++ b/libs/batch/src/state.hpp
@@ -71,6 +71,8 @@
     std::optional<instant> answered_poll_sent;
     std::uint64_t token = 0;
     bool poll_pending = false;
+    address polled_at;                  //!< of the last poll
+    std::optional<address> answered_at; //!< of the last answer
     bool truncated = false; //!< its last report left out ends
     /** The last poll failed; the lease isn't extended. */
     bool unresponsive = false;
--- a/libs/batch/src/workers.cpp
+++ b/libs/batch/src/workers.cpp
@@ -225,12 +225,14 @@
         return;
     }
     // A worker that isn't listed may be running, with its entry lost: it counts
-    // until it answers or its lease must have expired.
+    // until it answers or its lease must have expired. One that no earlier
+    // placer has recorded has had no orders.
     bool const all = std::all_of(s.workers.begin(),
                                  s.workers.end(),
                                  [](auto const& entry)
                                  {
-                                     return entry.second.synced;
+                                     return entry.second.synced ||
+                                            !entry.second.of_former_roster;
                                  });
     if ((s.list_complete && all) || former_placers_have_ended(s))
     {
@@ -332,6 +334,7 @@
     }
     worker_record& w = found->second;
     w.poll_pending = false;
+    w.answered_at = w.polled_at;
     s.placement_due = s.placement_due || w.unresponsive;
     w.unresponsive = false;
     if (answer.report.incarnation < w.incarnation)
@@ -427,6 +430,7 @@
         return;
     }
     w.poll_pending = true;
+    w.polled_at = w.offer.where;
     poll_worker poll;
     poll.worker = w.offer.id;
     poll.where = w.offer.where;
--- a/libs/batch/tests/fleet_of_workers.hpp
+++ b/libs/batch/tests/fleet_of_workers.hpp
@@ -42,18 +42,32 @@
         this->scheduler = make_scheduler(settings, this->now);
     }
 
-    void add_worker(std::string const& id,
-                    std::vector<std::string> const& labels = {"a", "r1"})
+    worker_offer const& make_worker(std::string const& id)
     {
-        worker_offer offer;
-        offer.id = id;
-        offer.service = "s";
-        offer.where = {"127.0.0.1", std::uint16_t(1000 + this->workers.size())};
-        offer.capacity = {32'000, 65'536, 0};
-        offer.labels = labels;
-        offer.incarnation = 1;
-        this->workers[id].offer = offer;
-        this->feed(worker_listed{offer});
+        auto const added = this->workers.emplace(id, worker_state{});
+        worker_offer& offer = added.first->second.offer;
+        if (added.second)
+        {
+            offer.id = id;
+            offer.service = "s";
+            offer.where = {"127.0.0.1",
+                           std::uint16_t(1000 + this->workers.size())};
+            offer.capacity = {32'000, 65'536, 0};
+            offer.labels = {"a", "r1"};
+            offer.incarnation = 1;
+        }
+        return offer;
+    }
+
+    void add_worker(std::string const& id)
+    {
+        this->feed(worker_listed{this->make_worker(id)});
+    }
+
+    /** The worker is in the roster that the placer reads. */
+    void record_worker(std::string const& id)
+    {
+        this->feed(worker_recorded{id, this->make_worker(id).where, 1});
     }
 
     static job make_job(std::string const& id, int count, int milli_cores)
@@ -105,7 +119,11 @@
         {
             for (roster_change const& change : roster->changes)
             {
-                this->recorded.insert(change.worker);
+                this->recorded.erase(change.worker);
+                if (change.where)
+                {
+                    this->recorded[change.worker] = *change.where;
+                }
             }
             replies.emplace_back(
                 roster_saved{roster->save, save_outcome::stored, 50, {}});
@@ -191,7 +209,7 @@
         return run_end::done;
     };
     std::map<std::string, std::vector<started_run>> starts; //!< by job
-    std::set<std::string> recorded; //!< workers in any save of the roster
+    std::map<std::string, address> recorded;                //!< by this placer
     std::vector<std::string> log;
 };
 
--- a/libs/batch/tests/placing_test.cpp
+++ b/libs/batch/tests/placing_test.cpp
@@ -294,7 +294,14 @@
     this->feed(worker_listed{moved});
     this->submit("a");
     EXPECT_EQ(this->starts, 0);
+    this->answer({}); // to the poll at the former address
+    this->pass_time(3);
+    EXPECT_EQ(this->roster_call.changes.front().where,
+              (address{"127.0.0.1", 1}));
+    this->answer({});
     this->feed(time_passed{});
+    EXPECT_EQ(this->starts, 0);
+    ASSERT_EQ(this->roster_call.changes.front().where, moved.where);
     this->feed(
         roster_saved{this->roster_call.save, save_outcome::stored, 6, {}});
     EXPECT_EQ(this->starts, 1);
