Lead without the store by three quarters of the workers, succeed by a quarter

Cause: the wait of a takeover counts from when more than half of the roster has answered, since with half of the workers an earlier placer may go on without the store. With most workers lost it counted from when their entries had lapsed.

Change: a placer leads without the store by more than three quarters of the recorded workers; a quarter suffices a successor. Leases and clock rates stay.

Why it works: more than three quarters and a quarter of one roster share a worker, as two majorities did, which refuses the lower token. The price is that an outage of the store together with a quarter of silent workers now stops placing. The known limit (most workers left to a placer without the store, their entries lapsed) needs three quarters now.

--- a/libs/batch/src/leadership.cpp
+++ b/libs/batch/src/leadership.cpp
@@ -18,6 +18,21 @@
 /** The store lists a live worker again this soon after an outage. */
 constexpr milliseconds relisting_span{2500};
 
+/** Returns how many of the recorded workers must answer a placer that leads
+ * without the store. More than a half, so that a successor needs fewer: when
+ * workers are lost together with a placer, earlier jobs wait for it. */
+std::size_t answers_to_lead(std::size_t recorded)
+{
+    return recorded * 3 / 4 + 1;
+}
+
+/** Returns how many of the recorded workers must answer a successor before no
+ * earlier placer can have as many as it needs. */
+std::size_t answers_to_succeed(std::size_t recorded)
+{
+    return recorded + 1 - std::min(recorded + 1, answers_to_lead(recorded));
+}
+
 /** The roster may name the worker, so a successor would ask it. */
 bool may_be_recorded(worker_record const& w)
 {
@@ -34,9 +49,9 @@
                                                     : std::nullopt;
 }
 
-/** Returns the latest time since which more than half of the recorded workers
- * have answered; none if they haven't. */
-std::optional<instant> majority_answered_at(scheduler const& s)
+/** Returns the latest time since which enough of the recorded workers have
+ * answered to lead without the store; none if they haven't. */
+std::optional<instant> quorum_answered_at(scheduler const& s)
 {
     std::size_t recorded = 0;
     std::vector<instant> answers;
@@ -50,7 +65,7 @@
             answers.push_back(*answer);
         }
     }
-    std::size_t const needed = recorded / 2 + 1;
+    std::size_t const needed = answers_to_lead(recorded);
     if (answers.size() < needed)
     {
         return std::nullopt;
@@ -104,7 +119,7 @@
     instant confirmed = s.claim_confirmed_at;
     if (confirmed + s.settings.leader_lease <= s.now)
     {
-        std::optional<instant> const answered = majority_answered_at(s);
+        std::optional<instant> const answered = quorum_answered_at(s);
         confirmed = answered ? std::max(confirmed, *answered) : confirmed;
     }
     s.leads_until = confirmed + s.settings.leader_lease;
@@ -178,7 +193,7 @@
         electors += is_elector(s, w) ? 1 : 0;
         answered += is_elector(s, w) && w.answered_poll_sent ? 1 : 0;
     }
-    if (electors == 0 || answered > electors / 2)
+    if (answered >= answers_to_succeed(electors))
     {
         s.succeeded_at = s.now;
     }
--- a/libs/batch/src/roster.cpp
+++ b/libs/batch/src/roster.cpp
@@ -79,7 +79,7 @@
 
 void save_roster_changes(scheduler& s)
 {
-    // Until then, the former placer's majority is of the roster as it is.
+    // Until then, the former placer counts the workers of the same roster.
     if (s.stopped || s.now < s.next_roster_save || !s.succeeded_at)
     {
         return;
--- a/libs/batch/src/state.hpp
+++ b/libs/batch/src/state.hpp
@@ -73,7 +73,7 @@
     bool poll_pending = false;
     address polled_at;                  //!< of the last poll
     std::optional<address> answered_at; //!< of the last answer
-    bool truncated = false; //!< its last report left out ends
+    bool truncated = false;             //!< its last report left out ends
     /** The last poll failed; the lease isn't extended. */
     bool unresponsive = false;
     instant next_poll;
@@ -246,8 +246,8 @@
     instant next_claim_check;
     instant next_awaited_claim_check; //!< while a worker waits for one
     instant leads_until;
-    /** When more than half of the former roster's workers had answered this
-     * placer's token. */
+    /** When so many of the former roster's workers had answered this placer's
+     * token that no earlier one can lead without the store. */
     std::optional<instant> succeeded_at;
     std::vector<effect> effects;
 };
@@ -291,11 +291,11 @@
 // ---- leadership.cpp
 //
 // A placer leads while the store has confirmed its claim within the leader
-// lease, or more than half of the recorded workers have answered its token
-// within it. A successor counts answers of the same workers: any two majorities
-// share a worker, which refuses the lower token. So the former placer's last
-// order comes before the successor's majority plus one leader lease, though the
-// two may reach neither each other nor the store.
+// lease, or more than three quarters of the recorded workers have answered its
+// token within it. A successor waits for answers of a quarter of the same
+// workers: then the two sets share a worker, which refuses the lower token. So
+// the former placer's last order comes before the successor's quarter plus one
+// leader lease, though the two may reach neither each other nor the store.
 
 /** Returns whether this placer may start tasks and extend leases. */
 bool leads(scheduler const& s);
@@ -311,7 +311,7 @@
  * answered. Otherwise the incarnation may have begun after a successor's claim
  * and know neither its token nor this placer's. */
 bool is_confirmed(scheduler const& s, worker_record const& w);
-/** Notes whether most workers of the former roster have answered. */
+/** Notes whether enough workers of the former roster have answered. */
 void check_succession(scheduler& s);
 /** Returns when a lease must have ended that a former placer extended. */
 instant latest_former_lease(scheduler const& s);
