Settle by answers only by a claim that was confirmed since

What callers could see: a task of an earlier job started after its end was acknowledged (TWICE).

Cause: a worker without runs in the placer's books counted as answered although the claim hadn't been confirmed after its answer. A successor had claimed meanwhile, read the worker's ends and acknowledged them; the worker restarted and only the former placer reached it, which settled by its empty report.

Change: check_settled counts an answer once the claim is confirmed after it, as placing on that worker does; a confirmation settles at once.

Why it works: the store confirms no claim that was replaced, so no successor had claimed when the answer came, and none can have read the ends before.

The test on the former code: placer_of_five.settles_by_answers_only_by_a_claim_confirmed_since this->started_on.empty() Actual: false Expected: true

--- a/libs/batch/src/leadership.cpp
+++ b/libs/batch/src/leadership.cpp
@@ -149,6 +149,7 @@
     s.next_awaited_claim_check = s.now + awaited_claim_check_pause;
     s.placement_due = true;
     renew_leadership(s);
+    check_settled(s);
 }
 
 bool is_confirmed(scheduler const& s, worker_record const& w)
--- a/libs/batch/src/state.hpp
+++ b/libs/batch/src/state.hpp
@@ -285,6 +285,9 @@
 void handle_poll_failure(scheduler& s, poll_failed const& failure);
 void poll_if_due(scheduler& s, worker_record& w);
 void expire_leases(scheduler& s);
+/** Notes whether the runs of all workers that earlier placers may have used are
+ * known, or must have ended. */
+void check_settled(scheduler& s);
 bool usable(scheduler const& s, worker_record const& w);
 std::int64_t lease_deadline(scheduler& s, worker_record& w);
 
--- a/libs/batch/src/workers.cpp
+++ b/libs/batch/src/workers.cpp
@@ -218,6 +218,8 @@
     }
 }
 
+} // namespace
+
 void check_settled(scheduler& s)
 {
     if (s.settled)
@@ -226,13 +228,15 @@
     }
     // A worker that isn't listed may be running, with its entry lost: it counts
     // until it answers or its lease must have expired. One that no earlier
-    // placer has recorded has had no orders.
+    // placer has recorded has had no orders. A successor may have read the ends
+    // of a worker that has restarted since, if it claimed before the answer.
     bool const all = std::all_of(s.workers.begin(),
                                  s.workers.end(),
-                                 [](auto const& entry)
+                                 [&s](auto const& entry)
                                  {
-                                     return entry.second.synced ||
-                                            !entry.second.of_former_roster;
+                                     worker_record const& w = entry.second;
+                                     return !w.of_former_roster ||
+                                            (w.synced && is_confirmed(s, w));
                                  });
     if ((s.list_complete && all) || former_placers_have_ended(s))
     {
@@ -248,8 +252,6 @@
     }
 }
 
-} // namespace
-
 bool usable(scheduler const& s, worker_record const& w)
 {
     // The entry of an earlier incarnation may name another kind and capacity.
--- a/libs/batch/tests/leadership_test.cpp
+++ b/libs/batch/tests/leadership_test.cpp
@@ -329,6 +329,24 @@
     EXPECT_EQ(this->started_on.size(), 1u);
 }
 
+// Guards against a placer that starts a former job's tasks since the last
+// worker has answered, although that one has restarted after its own successor
+// has read and acknowledged its ends.
+TEST_F(placer_of_five, settles_by_answers_only_by_a_claim_confirmed_since)
+{
+    this->reach({"w1", "w2", "w3", "w4"});
+    this->submit("former", 1);
+    this->run_for(milliseconds{500});
+    this->store_answers = false;
+    this->restart("w5");
+    this->reach(this->all);
+    this->run_for(milliseconds{1000});
+    EXPECT_TRUE(this->started_on.empty());
+    this->store_answers = true;
+    this->run_for(milliseconds{1500});
+    EXPECT_EQ(this->started_on.size(), 1u);
+}
+
 // ---- its successor
 
 struct succession_case
