--- a/libs/soak/src/trouble.cpp
+++ b/libs/soak/src/trouble.cpp
@@ -392,7 +392,7 @@
                 });
 }
 
-/** The placer has no store, but alone reaches some workers. */
+/** The placer has no store, but alone reaches some workers, or most of them. */
 void trouble::isolate_placer()
 {
     constexpr milliseconds retry{200};
@@ -414,8 +414,12 @@
     bool const no_other_worker = this->shared.chance(0.75);
     bool const restart = this->shared.chance(0.4);
     milliseconds const lasts = this->span(8000, 22'000);
-    std::vector<int> const alone =
-        this->draw_workers(this->shared.draw_int(1, 3));
+    int const workers = static_cast<int>(this->all.to_workers.size());
+    bool const most = this->shared.chance(0.3);
+    std::vector<int> const alone = this->draw_workers(
+        most ? this->shared.draw_int(workers / 2 + 1,
+                                     std::max(workers / 2 + 1, workers * 3 / 4))
+             : this->shared.draw_int(1, 3));
 
     this->isolated = placer;
     // The one that keeps the store isn't the placer.
