Store which workers are silent, so that takeovers don't begin their wait anew

Cause: the roster told a successor only that a worker was in use once. It took every earlier placer for one that extended the worker's lease until now.

Ruled out: shortening the longest lease of 10 s to the 6 s that a placer extends by. A restarted worker grants 10 s to a deadline made from its former clock, and no order can name an incarnation.

Change: a placer stores that a worker is idle once it is silent and no lease of the placer's lasts, and sends it neither start nor lease until a save without the mark is stored. A successor counts the leases from a time by which the mark was stored, which its daemon knows by the store's revision.

Why it works: the roster changes only after a placer has succeeded all earlier ones, so their right ends at most a leader lease after the mark; the sum of leases stays.

--- a/libs/batch/include/batch/batch.hpp
+++ b/libs/batch/include/batch/batch.hpp
@@ -129,13 +129,24 @@
     bool operator==(job_progress const&) const = default;
 };
 
+/** A worker's record in the stored roster; immutable. */
+struct worker_location
+{
+    address where;
+    /** The worker was silent. While the record says so, no placer sends it an
+     * order with a lease. */
+    bool idle = false;
+
+    bool operator==(worker_location const&) const = default;
+};
+
 /** Encode and decode the records of the store. Errors: invalid_input. */
 std::string encode_job(job const& given);
 result<job> decode_job(std::string const& bytes);
 std::string encode_progress(job_progress const& progress);
 result<job_progress> decode_progress(std::string const& bytes);
-std::string encode_location(address const& where);
-result<address> decode_location(std::string const& bytes);
+std::string encode_location(worker_location const& location);
+result<worker_location> decode_location(std::string const& bytes);
 
 // ---- workers -------------------------------------------------------------
 
@@ -254,6 +265,9 @@
     std::string worker;
     address where;
     std::int64_t revision = 0; //!< of the record
+    /** Of a record that says that the worker is idle: a time at which it was
+     * stored already. */
+    std::optional<instant> idle_since;
 };
 
 /** The placer has received the whole list of workers since its start. */
@@ -462,6 +476,7 @@
     std::string worker;
     std::optional<address> where; //!< none: the record is deleted
     std::int64_t expected = 0;    //!< stored revision; 0: no record
+    bool idle = false;
 
     bool operator==(roster_change const&) const = default;
 };
--- a/libs/batch/src/leadership.cpp
+++ b/libs/batch/src/leadership.cpp
@@ -85,18 +85,40 @@
     return w.of_former_roster && !gone;
 }
 
+/**
+ * Returns when the leases have ended that former placers may have extended on
+ * the worker; none while one of them may lead.
+ *
+ * A placer stores that a worker is idle after it has succeeded all earlier
+ * ones, and neither it nor its successors send an order while the record says
+ * so. What others had sent counts from then.
+ */
+std::optional<instant> end_of_former_leases(scheduler const& s,
+                                            worker_record const& w)
+{
+    std::optional<instant> const from =
+        w.idle_since ? w.idle_since : s.succeeded_at;
+    return from ? std::optional<instant>(*from + longest_leadership(s) +
+                                         longest_lease(s))
+                : std::nullopt;
+}
+
+/** The leases of a former placer on it have ended, but a successor that claimed
+ * before may have read the ends. */
+bool awaits_end_of_former_leases(scheduler const& s, worker_record const& w)
+{
+    std::optional<instant> const end = end_of_former_leases(s, w);
+    return !s.settled && w.of_former_roster && !w.synced && end &&
+           *end < s.now && s.claim_confirmed_at <= *end;
+}
+
 /** Its new incarnation can't be used, or its lapsed runs can't be dropped. */
 bool waits_for_claim_check(scheduler const& s, worker_record const& w)
 {
     bool const unconfirmed = w.answered_poll_sent && !is_confirmed(s, w);
     bool const lapsed = !w.runs.empty() && w.lease_end < s.now &&
                         w.lease_end >= s.claim_confirmed_at;
-    return unconfirmed || lapsed;
-}
-
-instant end_of_former_leases(scheduler const& s)
-{
-    return *s.succeeded_at + longest_leadership(s) + longest_lease(s);
+    return unconfirmed || lapsed || awaits_end_of_former_leases(s, w);
 }
 
 } // namespace
@@ -159,11 +181,7 @@
 
 void check_claim(scheduler& s)
 {
-    bool const settles = !s.settled && s.succeeded_at &&
-                         s.now > end_of_former_leases(s) &&
-                         s.claim_confirmed_at <= end_of_former_leases(s);
     bool const awaited =
-        settles ||
         std::any_of(s.workers.begin(),
                     s.workers.end(),
                     [&s](auto const& entry)
@@ -208,11 +226,12 @@
            (may_lead ? longest_leadership(s) : milliseconds{0});
 }
 
-bool former_placers_have_ended(scheduler const& s)
+bool former_leases_have_ended(scheduler const& s, worker_record const& w)
 {
     // A successor of this placer may have read the ends on silent workers, and
     // acknowledged them, if it claimed before.
-    return s.succeeded_at && s.claim_confirmed_at > end_of_former_leases(s);
+    std::optional<instant> const end = end_of_former_leases(s, w);
+    return end && s.claim_confirmed_at > *end;
 }
 
 } // namespace cicada::batch
--- a/libs/batch/src/orders.cpp
+++ b/libs/batch/src/orders.cpp
@@ -240,7 +240,8 @@
         {
             continue;
         }
-        if (r.phase == run_phase::starting && leads(s) && !w.unresponsive)
+        if (r.phase == run_phase::starting && leads(s) && !w.unresponsive &&
+            !w.may_be_idle)
         {
             send_start(s, w, run.first, r);
         }
--- a/libs/batch/src/records.cpp
+++ b/libs/batch/src/records.cpp
@@ -142,19 +142,26 @@
     }
 }
 
-std::string encode_location(address const& where)
+std::string encode_location(worker_location const& location)
 {
-    return to_bytes(
-        json{{"v", record_version}, {"h", where.host}, {"p", where.port}});
+    json record{{"v", record_version},
+                {"h", location.where.host},
+                {"p", location.where.port}};
+    if (location.idle)
+    {
+        record["i"] = true;
+    }
+    return to_bytes(record);
 }
 
-result<address> decode_location(std::string const& bytes)
+result<worker_location> decode_location(std::string const& bytes)
 {
     try
     {
         json const from = from_bytes(bytes);
-        return address{from.at("h").get<std::string>(),
-                       from.at("p").get<std::uint16_t>()};
+        return worker_location{{from.at("h").get<std::string>(),
+                                from.at("p").get<std::uint16_t>()},
+                               from.value("i", false)};
     }
     catch (json::exception const& problem)
     {
--- a/libs/batch/src/roster.cpp
+++ b/libs/batch/src/roster.cpp
@@ -13,24 +13,39 @@
 constexpr std::size_t max_changes_per_save = 15;
 constexpr std::size_t max_concurrent_roster_saves = 4;
 constexpr milliseconds roster_save_interval{25};
+constexpr milliseconds idle_after_silence{500};
+
+/** Returns whether the worker is to be stored as idle. It has been silent, so
+ * it gets no order with a lease. Until its lease has ended, an answer would
+ * have to extend it at once. */
+bool goes_idle(scheduler const& s, worker_record const& w)
+{
+    return w.recorded_address && !w.may_be_idle && w.silent_since &&
+           *w.silent_since + idle_after_silence <= s.now && w.lease_end < s.now;
+}
 
 std::optional<roster_change> change_of(scheduler const& s,
                                        worker_record const& w)
 {
-    if (w.listed || has_open_runs(s, w))
+    if (!w.listed && !has_open_runs(s, w))
     {
-        // A worker that has never answered has had no orders, so a successor
-        // needn't ask it. It may be the entry of another writer.
-        bool const answered = w.answered_at == w.offer.where;
-        return is_recorded(w) || !answered
+        return w.roster_revision == 0
                    ? std::nullopt
                    : std::optional<roster_change>(
-                         {w.offer.id, w.offer.where, w.roster_revision});
+                         {w.offer.id, std::nullopt, w.roster_revision});
+    }
+    if (goes_idle(s, w))
+    {
+        return roster_change{
+            w.offer.id, w.recorded_address, w.roster_revision, true};
     }
-    return w.roster_revision == 0
+    // A worker that has never answered has had no orders, so a successor
+    // needn't ask it. It may be the entry of another writer.
+    bool const answers = w.answered_at == w.offer.where && !w.silent_since;
+    return is_recorded(w) || !answers
                ? std::nullopt
                : std::optional<roster_change>(
-                     {w.offer.id, std::nullopt, w.roster_revision});
+                     {w.offer.id, w.offer.where, w.roster_revision});
 }
 
 void log_roster_change(scheduler& s,
@@ -38,17 +53,20 @@
                        std::vector<roster_change> const& changes)
 {
     std::string recorded;
+    std::string idle;
     std::string removed;
     for (roster_change const& change : changes)
     {
-        std::string& names = change.where ? recorded : removed;
+        std::string& names = !change.where ? removed
+                             : change.idle ? idle
+                                           : recorded;
         names += (names.empty() ? "" : ",") + change.worker;
     }
     log(s,
         events::roster_changed,
         "save=" + std::to_string(outcome.save) +
             " outcome=" + name_of(outcome.outcome) + " recorded=" + recorded +
-            " removed=" + removed);
+            " idle=" + idle + " removed=" + removed);
 }
 
 } // namespace
@@ -61,7 +79,7 @@
 
 bool is_recorded(worker_record const& w)
 {
-    return w.recorded_address && *w.recorded_address == w.offer.where;
+    return w.recorded_address == w.offer.where && !w.may_be_idle;
 }
 
 void record_worker(scheduler& s, worker_recorded const& given)
@@ -75,6 +93,8 @@
     w.of_former_roster = true;
     w.recorded_address = given.where;
     w.roster_revision = given.revision;
+    w.idle_since = given.idle_since;
+    w.may_be_idle = given.idle_since.has_value();
 }
 
 void save_roster_changes(scheduler& s)
@@ -102,6 +122,8 @@
                 next->second.recorded_address.reset();
                 next->second.roster_written =
                     next->second.roster_written || change->where;
+                next->second.may_be_idle =
+                    next->second.may_be_idle || change->idle;
                 call.changes.push_back(*change);
             }
         }
@@ -133,6 +155,7 @@
             w.recorded_address = change.where;
             w.roster_revision = change.where ? outcome.revision : 0;
             w.roster_written = change.where.has_value();
+            w.may_be_idle = change.idle;
             s.placement_due = true;
         }
         auto const now_there = outcome.found.find(change.worker);
--- a/libs/batch/src/state.hpp
+++ b/libs/batch/src/state.hpp
@@ -76,6 +76,7 @@
     bool truncated = false;             //!< its last report left out ends
     /** The last poll failed; the lease isn't extended. */
     bool unresponsive = false;
+    std::optional<instant> silent_since; //!< the first poll that failed
     instant next_poll;
     std::int64_t clock_ms = 0; //!< the worker's clock in its last answer
     instant clock_read_at;
@@ -103,6 +104,11 @@
     /** A save may have stored its record since the last stored deletion. */
     bool roster_written = false;
     bool of_former_roster = false; //!< an earlier placer may have used it
+    /** Its record says that it is idle, or may say so: it gets no order with a
+     * lease. */
+    bool may_be_idle = false;
+    /** Of the record that an earlier placer stored. */
+    std::optional<instant> idle_since;
 };
 
 enum class task_phase
@@ -318,9 +324,9 @@
 void check_succession(scheduler& s);
 /** Returns when a lease must have ended that a former placer extended. */
 instant latest_former_lease(scheduler const& s);
-/** Returns whether all leases that former placers may have extended were over
- * when the claim was last confirmed. */
-bool former_placers_have_ended(scheduler const& s);
+/** Returns whether all leases that former placers may have extended on the
+ * worker were over when the claim was last confirmed. */
+bool former_leases_have_ended(scheduler const& s, worker_record const& w);
 
 // ---- doubt.cpp
 //
@@ -419,8 +425,8 @@
  * waits for those that are missing from the list. Called on time_passed. */
 void save_roster_changes(scheduler& s);
 void handle_roster_outcome(scheduler& s, roster_saved const& outcome);
-/** False until the worker's record is stored: a start before that could be
- * unknown to the next placer. */
+/** False until the worker's record is stored and says that it may have runs: a
+ * start before that could be unknown to the next placer. */
 bool is_recorded(worker_record const& w);
 
 // ---- saving.cpp
--- a/libs/batch/src/workers.cpp
+++ b/libs/batch/src/workers.cpp
@@ -222,7 +222,7 @@
 
 void check_settled(scheduler& s)
 {
-    if (s.settled)
+    if (s.settled || !s.list_complete)
     {
         return;
     }
@@ -230,26 +230,29 @@
     // until it answers or its lease must have expired. One that no earlier
     // placer has recorded has had no orders. A successor may have read the ends
     // of a worker that has restarted since, if it claimed before the answer.
-    bool const all = std::all_of(s.workers.begin(),
-                                 s.workers.end(),
-                                 [&s](auto const& entry)
-                                 {
-                                     worker_record const& w = entry.second;
-                                     return !w.of_former_roster ||
-                                            (w.synced && is_confirmed(s, w));
-                                 });
-    if ((s.list_complete && all) || former_placers_have_ended(s))
-    {
-        s.settled = true;
-        s.placement_due = true;
-        // Here the event means that the runs of all workers are known, or that
-        // every lease from an earlier placer has expired.
-        log(s,
-            events::shard_ready,
-            "epoch=" + std::to_string(s.settings.epoch) +
-                " workers=" + std::to_string(s.workers.size()) +
-                " all_answered=" + (all ? "yes" : "no"));
+    bool all_answered = true;
+    for (auto const& entry : s.workers)
+    {
+        worker_record const& w = entry.second;
+        if (!w.of_former_roster || (w.synced && is_confirmed(s, w)))
+        {
+            continue;
+        }
+        all_answered = false;
+        if (!former_leases_have_ended(s, w))
+        {
+            return;
+        }
     }
+    s.settled = true;
+    s.placement_due = true;
+    // Here the event means that the runs of all workers are known, or that
+    // every lease from an earlier placer has expired.
+    log(s,
+        events::shard_ready,
+        "epoch=" + std::to_string(s.settings.epoch) +
+            " workers=" + std::to_string(s.workers.size()) +
+            " all_answered=" + (all_answered ? "yes" : "no"));
 }
 
 bool usable(scheduler const& s, worker_record const& w)
@@ -339,6 +342,7 @@
     w.answered_at = w.polled_at;
     s.placement_due = s.placement_due || w.unresponsive;
     w.unresponsive = false;
+    w.silent_since.reset();
     if (answer.report.incarnation < w.incarnation)
     {
         w.next_poll = s.now + failed_poll_interval;
@@ -416,6 +420,7 @@
     worker_record& w = found->second;
     w.poll_pending = false;
     w.unresponsive = true;
+    w.silent_since = w.silent_since.value_or(s.now);
     w.next_poll = s.now + failed_poll_interval;
     if (failure.why == order_outcome::fenced && failure.token == w.token)
     {
@@ -441,7 +446,7 @@
     // of its ends.
     poll.acknowledged = w.unresponsive ? 0 : w.acknowledged;
     poll.wait = w.synced ? s.settings.poll_wait : milliseconds{0};
-    if (w.synced && !w.unresponsive && leads(s))
+    if (w.synced && !w.unresponsive && !w.may_be_idle && leads(s))
     {
         poll.lease_until = lease_deadline(s, w);
     }
--- a/libs/batch/tests/cell_model.cpp
+++ b/libs/batch/tests/cell_model.cpp
@@ -513,8 +513,9 @@
     {
         out.emplace_back(
             worker_recorded{entry.first,
-                            entry.second.first,
-                            static_cast<std::int64_t>(entry.second.second)});
+                            entry.second.where,
+                            static_cast<std::int64_t>(entry.second.revision),
+                            entry.second.idle_since});
     }
     return out;
 }
@@ -874,7 +875,7 @@
         std::int64_t const found =
             stored == this->roster.end()
                 ? 0
-                : static_cast<std::int64_t>(stored->second.second);
+                : static_cast<std::int64_t>(stored->second.revision);
         if (found != change.expected)
         {
             outcome.found[change.worker] = found;
@@ -892,7 +893,10 @@
     {
         if (change.where)
         {
-            this->roster[change.worker] = {*change.where, this->revision};
+            this->roster[change.worker] = {
+                *change.where,
+                this->revision,
+                change.idle ? std::optional<instant>(this->now) : std::nullopt};
         }
         else
         {
--- a/libs/batch/tests/cell_model.hpp
+++ b/libs/batch/tests/cell_model.hpp
@@ -157,8 +157,14 @@
     std::map<std::string, std::pair<job, std::uint64_t>> jobs; //!< not ended
     std::map<std::string, std::pair<std::string, std::uint64_t>> progress;
     std::set<std::string> cancels;
-    /** The roster's records by worker, with their revisions. */
-    std::map<std::string, std::pair<address, std::uint64_t>> roster;
+    struct roster_item
+    {
+        address where;
+        std::uint64_t revision = 0;
+        std::optional<instant> idle_since; //!< when it was stored as idle
+    };
+
+    std::map<std::string, roster_item> roster; //!< by worker
     std::int64_t next_incarnation = 1;
     instant store_up_at;
     int submitted_jobs = 0;
--- a/libs/batch/tests/fleet_of_workers.hpp
+++ b/libs/batch/tests/fleet_of_workers.hpp
@@ -120,7 +120,7 @@
             for (roster_change const& change : roster->changes)
             {
                 this->recorded.erase(change.worker);
-                if (change.where)
+                if (change.where && !change.idle)
                 {
                     this->recorded[change.worker] = *change.where;
                 }
@@ -209,7 +209,8 @@
         return run_end::done;
     };
     std::map<std::string, std::vector<started_run>> starts; //!< by job
-    std::map<std::string, address> recorded;                //!< by this placer
+    /** By this placer, as workers in use. */
+    std::map<std::string, address> recorded;
     std::vector<std::string> log;
 };
 
--- a/libs/batch/tests/leadership_test.cpp
+++ b/libs/batch/tests/leadership_test.cpp
@@ -107,8 +107,19 @@
         else if (save_roster const* const save =
                      std::get_if<save_roster>(&each))
         {
-            replies.emplace_back(
-                roster_saved{save->save, save_outcome::stored, 50, {}});
+            for (roster_change const& change : save->changes)
+            {
+                this->idle.erase(change.worker);
+                if (change.idle)
+                {
+                    this->idle.insert(change.worker);
+                }
+            }
+            if (this->store_answers)
+            {
+                replies.emplace_back(
+                    roster_saved{save->save, save_outcome::stored, 50, {}});
+            }
         }
         else if (poll_worker const* const poll =
                      std::get_if<poll_worker>(&each))
@@ -147,7 +158,8 @@
     instant now{milliseconds{100'000}};
     scheduler_ptr scheduler;
     std::vector<std::string> started_on;
-    int leases = 0; //!< polls that extended one
+    std::set<std::string> idle; //!< workers that are stored so
+    int leases = 0;             //!< polls that extended one
 };
 
 // ---- the placer that is cut off
@@ -422,6 +434,83 @@
         return std::string(info.param.name);
     });
 
+struct idle_case
+{
+    char const* name;
+    milliseconds stored_before; //!< the start
+    milliseconds after;         //!< the start
+    bool places; //!< jobs that the former placer may have started
+};
+
+class successor_beside_an_idle_worker
+    : public placer_of_five,
+      public testing::WithParamInterface<idle_case>
+{
+};
+
+// Guards against takeovers that each begin the wait for a silent worker anew.
+TEST_P(successor_beside_an_idle_worker, counts_its_leases_from_the_record)
+{
+    this->feed(worker_recorded{
+        "w5", {"127.0.0.1", 5}, 5, this->now - GetParam().stored_before});
+    this->reach({"w1", "w2", "w3", "w4"});
+    this->submit("former", 1);
+    this->run_for(GetParam().after);
+    EXPECT_EQ(!this->started_on.empty(), GetParam().places);
+    this->run_for(all_leases);
+    EXPECT_EQ(this->started_on.size(), 1u);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    cases,
+    successor_beside_an_idle_worker,
+    testing::Values(
+        idle_case{"long_ago", milliseconds{14'000}, milliseconds{500}, true},
+        idle_case{"before", milliseconds{5000}, milliseconds{8400}, false},
+        idle_case{
+            "before_and_over", milliseconds{5000}, milliseconds{9100}, true},
+        idle_case{"now", milliseconds{0}, milliseconds{13'400}, false}),
+    [](testing::TestParamInfo<idle_case> const& info)
+    {
+        return std::string(info.param.name);
+    });
+
+// Guards against an order to a worker whose record still tells successors that
+// it gets none.
+TEST_F(placer_of_five,
+       orders_nothing_of_an_idle_worker_before_its_record_changes)
+{
+    this->feed(worker_recorded{"w5", {"127.0.0.1", 5}, 5, this->now});
+    this->reach({"w1"});
+    this->run_for(milliseconds{300});
+    this->submit("a", 2);
+    this->run_for(milliseconds{300});
+    ASSERT_EQ(this->started_on, std::vector<std::string>{"w1"});
+    this->store_answers = false;
+    this->reach({"w5"});
+    this->run_for(milliseconds{100});
+    this->leases = 0;
+    this->submit("b", 2);
+    this->run_for(milliseconds{1000});
+    EXPECT_EQ(this->started_on.size(), 1u);
+    EXPECT_EQ(this->leases, 0);
+}
+
+TEST_F(placer_of_five, stores_a_silent_worker_as_idle_until_it_answers)
+{
+    this->reach({"w1", "w2", "w3", "w4"});
+    this->run_for(milliseconds{1000});
+    EXPECT_EQ(this->idle, std::set<std::string>{"w5"});
+    this->reach(this->all);
+    this->run_for(milliseconds{1000});
+    EXPECT_TRUE(this->idle.empty());
+    this->reach({"w2", "w3", "w4", "w5"});
+    this->run_for(milliseconds{6000});
+    EXPECT_TRUE(this->idle.empty()); // its lease may last
+    this->run_for(milliseconds{9000});
+    EXPECT_EQ(this->idle, std::set<std::string>{"w1"});
+}
+
 TEST_F(placer_of_five, records_no_worker_before_enough_of_the_roster_answer)
 {
     this->reach({"w1", "w6"});
--- a/libs/batch/tests/placing_test.cpp
+++ b/libs/batch/tests/placing_test.cpp
@@ -269,10 +269,14 @@
 
 TEST(worker_location, round_trips)
 {
-    address const where{"10.1.0.13", 8161};
-    result<address> const read = decode_location(encode_location(where));
-    ASSERT_TRUE(read.has_value());
-    EXPECT_EQ(read.assume_value(), where);
+    for (bool const idle : {false, true})
+    {
+        worker_location const given{{"10.1.0.13", 8161}, idle};
+        result<worker_location> const read =
+            decode_location(encode_location(given));
+        ASSERT_TRUE(read.has_value());
+        EXPECT_EQ(read.assume_value(), given);
+    }
 }
 
 TEST(worker_location, that_is_malformed_is_an_error)
--- a/libs/cell/src/context.hpp
+++ b/libs/cell/src/context.hpp
@@ -6,6 +6,7 @@
 #include "event_numbers/event_numbers.hpp"
 #include "messages.hpp"
 #include "platform/platform.hpp"
+#include "revision_history.hpp"
 #include "store_health.hpp"
 
 #include <boost/asio/io_context.hpp>
@@ -44,6 +45,7 @@
     platform::kv_client store;
     std::optional<batch::cell_config> config;
     store_health health;
+    revision_history revisions; //!< of the store
     /** Gets the time at which the call was sent that was answered first. */
     std::function<void(instant)> on_store_recovery;
     bool stopping = false;
--- a/libs/cell/src/placer.cpp
+++ b/libs/cell/src/placer.cpp
@@ -175,7 +175,8 @@
 {
     for (platform::kv_item const& item : roster)
     {
-        result<address> const read = batch::decode_location(item.value);
+        result<batch::worker_location> const read =
+            batch::decode_location(item.value);
         if (!read.has_value())
         {
             this->shared.log_event(events::malformed_answer,
@@ -184,10 +185,19 @@
         }
         // A worker whose address can't be read never answers, so the scheduler
         // waits until its lease must have expired.
-        this->step_scheduler(batch::worker_recorded{
-            keys::strip_prefix(item.key, keys::roster),
-            read.has_value() ? read.assume_value() : address{},
-            item.revision});
+        batch::worker_recorded event;
+        event.worker = keys::strip_prefix(item.key, keys::roster);
+        event.revision = item.revision;
+        if (read.has_value())
+        {
+            event.where = read.assume_value().where;
+        }
+        if (read.has_value() && read.assume_value().idle)
+        {
+            event.idle_since = stored_by(this->shared.revisions, item.revision)
+                                   .value_or(this->shared.now());
+        }
+        this->step_scheduler(event);
     }
 }
 
@@ -687,7 +697,7 @@
         if (each.where)
         {
             change.writes.push_back(
-                {key, batch::encode_location(*each.where), 0});
+                {key, batch::encode_location({*each.where, each.idle}), 0});
         }
         else
         {
--- a/libs/cell/src/watched_prefix.cpp
+++ b/libs/cell/src/watched_prefix.cpp
@@ -131,6 +131,7 @@
                 return;
             }
             std::int64_t const revision = page.assume_value().at_revision;
+            note_revision(self->shared.revisions, revision, self->shared.now());
             self->replace_items(std::move(page.assume_value()));
             self->step(store_watch::items_read{number, revision});
         });
@@ -191,6 +192,7 @@
                 return;
             }
             std::int64_t const revision = reply.assume_value().at_revision;
+            note_revision(self->shared.revisions, revision, self->shared.now());
             bool const history_lost = reply.assume_value().history_lost;
             if (!history_lost)
             {
