--- a/libs/batch/src/leadership.cpp
+++ b/libs/batch/src/leadership.cpp
@@ -19,8 +19,9 @@
 constexpr milliseconds relisting_span{2500};
 
 /** Returns how many of the recorded workers must answer a placer that leads
- * without the store. More than a half, so that a successor needs fewer: when
- * workers are lost together with a placer, earlier jobs wait for it. */
+ * without the store. More than three quarters rather than half of them, so that
+ * a quarter is enough for a successor: earlier jobs wait for those answers,
+ * even if workers were lost together with their placer. */
 std::size_t answers_to_lead(std::size_t recorded)
 {
     return recorded * 3 / 4 + 1;
--- a/libs/batch/tests/cell_model.cpp
+++ b/libs/batch/tests/cell_model.cpp
@@ -430,17 +430,18 @@
     }
 }
 
-void cell_model::unlist_isolated_worker(worker_model& w, std::size_t isolated)
+void cell_model::unlist_isolated_worker(worker_model& w, std::size_t p)
 {
     this->at(entry_lapse_span,
-             [this, &w, isolated]
+             [this, &w, p]
              {
                  w.listed = false;
-                 for (std::size_t p = 0; p < this->placers.size(); ++p)
+                 for (std::size_t other = 0; other < this->placers.size();
+                      ++other)
                  {
-                     if (p != isolated)
+                     if (other != p)
                      {
-                         this->feed(p, worker_unlisted{w.offer.id});
+                         this->feed(other, worker_unlisted{w.offer.id});
                      }
                  }
              });
--- a/libs/batch/tests/cell_model.hpp
+++ b/libs/batch/tests/cell_model.hpp
@@ -101,6 +101,7 @@
     void start_placer();
     void isolate_placer();
     void isolate_worker(worker_model& w, std::size_t placer);
+    /** Drops its entry for all but its placer, until the isolation ends. */
     void unlist_isolated_worker(worker_model& w, std::size_t placer);
     /** Starts a successor; the old placer stops after the span. */
     void take_over(milliseconds old_placer_span);
--- a/libs/batch/tests/placing_test.cpp
+++ b/libs/batch/tests/placing_test.cpp
@@ -267,27 +267,6 @@
         return std::string(info.param.name);
     });
 
-TEST(worker_location, round_trips)
-{
-    for (bool const idle : {false, true})
-    {
-        worker_location const given{{"10.1.0.13", 8161}, idle};
-        result<worker_location> const read =
-            decode_location(encode_location(given));
-        ASSERT_TRUE(read.has_value());
-        EXPECT_EQ(read.assume_value(), given);
-    }
-}
-
-TEST(worker_location, that_is_malformed_is_an_error)
-{
-    for (std::string const& bytes :
-         {std::string(), std::string("\xff\xff"), std::string("\xa1\x61h\x01")})
-    {
-        EXPECT_FALSE(decode_location(bytes).has_value());
-    }
-}
-
 TEST_F(one_worker, gets_nothing_before_the_roster_names_it)
 {
     worker_offer moved;
--- a/libs/batch/tests/roster_test.cpp
+++ b/libs/batch/tests/roster_test.cpp
@@ -79,5 +79,26 @@
     EXPECT_EQ(this->recorded.at("w1"), former);
 }
 
+TEST(worker_location, round_trips)
+{
+    for (bool const idle : {false, true})
+    {
+        worker_location const given{{"10.1.0.13", 8161}, idle};
+        result<worker_location> const read =
+            decode_location(encode_location(given));
+        ASSERT_TRUE(read.has_value());
+        EXPECT_EQ(read.assume_value(), given);
+    }
+}
+
+TEST(worker_location, that_is_malformed_is_an_error)
+{
+    for (std::string const& bytes :
+         {std::string(), std::string("\xff\xff"), std::string("\xa1\x61h\x01")})
+    {
+        EXPECT_FALSE(decode_location(bytes).has_value());
+    }
+}
+
 } // namespace
 } // namespace cicada::batch
