--- a/libs/batch/src/roster.cpp
+++ b/libs/batch/src/roster.cpp
@@ -15,9 +15,9 @@
 constexpr milliseconds roster_save_interval{25};
 constexpr milliseconds idle_after_silence{500};
 
-/** Returns whether the worker is to be stored as idle. It has been silent, so
- * it gets no order with a lease. Until its lease has ended, an answer would
- * have to extend it at once. */
+/** Returns whether the worker's record is to say that it is idle: it is silent
+ * and gets no order with a lease anyway. While its lease lasts the record
+ * stays, since an answer must extend the lease at once. */
 bool goes_idle(scheduler const& s, worker_record const& w)
 {
     return w.recorded_address && !w.may_be_idle && w.silent_since &&
