--- a/review/standin-3/cases.hpp
+++ b/review/standin-3/cases.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "trial.hpp"
+#include "trial.h"
 
 namespace cicada::review
 {
--- a/review/standin-3/main.cpp
+++ b/review/standin-3/main.cc
@@ -1,4 +1,4 @@
-#include "cases.hpp"
+#include "cases.h"
 
 #include <csignal>
 #include <cstdlib>
--- a/review/standin-3/trial.cpp
+++ b/review/standin-3/trial.cc
@@ -1,4 +1,4 @@
-#include "trial.hpp"
+#include "trial.h"
 
 #include <cstdlib>
 #include <unistd.h>
