Bound the unanswered orders of a worker and of the fleet

Cause: every task that fitted was ordered in one pass, each order with a copy of the spec, queued behind four connections without a bound. The placer passed 260 MB in 0.3 s and was killed; each successor read the job first and went the same way.

A worker now has at most 16 unanswered orders and the fleet 2,048. Tasks beyond that stay waiting; stops and members of gangs are kept as runs whose order is due. Wide steps leave some orders to narrow ones.

Tests: wide_job.has_few_unanswered_orders and wide_job.has_few_unanswered_stops_when_it_is_cancelled failed before, with 32,000 and 63,616 unanswered orders (many_tasks) and 2,983 (wide_gang); the bound is 64. starts_an_ordinary_job_beside_a_wide_one and completes_a_wide_job_and_an_ordinary_one held before and after.

--- a/libs/batch/src/admission.cpp
+++ b/libs/batch/src/admission.cpp
@@ -191,9 +191,11 @@
     std::int64_t capacity = 0;
     std::int64_t used = 0;
     std::size_t workers = 0;
+    int held = 0;
     std::set<std::uint32_t> const excluded = excluded_workers(state);
     for (auto const& entry : state.workers)
     {
+        held += entry.second.held_orders;
         if (usable(state, entry.second) &&
             excluded.count(entry.second.number) == 0)
         {
@@ -226,11 +228,14 @@
             }
         }
     }
-    std::string text = "workers=" + std::to_string(workers) +
-                       " cores=" + std::to_string(capacity / 1000) +
-                       " used=" + std::to_string(used / 1000) +
-                       " excluded=" + std::to_string(excluded.size()) +
-                       " put_off=" + std::to_string(state.put_off_steps);
+    std::string text =
+        "workers=" + std::to_string(workers) +
+        " cores=" + std::to_string(capacity / 1000) +
+        " used=" + std::to_string(used / 1000) +
+        " excluded=" + std::to_string(excluded.size()) +
+        " put_off=" + std::to_string(state.put_off_steps) +
+        " unanswered=" + std::to_string(state.unanswered_orders) +
+        " held=" + std::to_string(held);
     for (auto const& entry : waiting)
     {
         text += " " + entry.first + "=" + std::to_string(entry.second.steps) +
--- a/libs/batch/src/batch.cpp
+++ b/libs/batch/src/batch.cpp
@@ -193,7 +193,7 @@
         {
             if (resend_due)
             {
-                resend_orders(s, entry.second);
+                send_due_orders(s, entry.second);
             }
             poll_if_due(s, entry.second);
         }
@@ -202,7 +202,7 @@
     auto const named = s.workers.find(std::visit(worker_named{}, happened));
     if (named != s.workers.end())
     {
-        resend_orders(s, named->second);
+        send_due_orders(s, named->second);
         poll_if_due(s, named->second);
     }
 }
--- a/libs/batch/src/orders.cpp
+++ b/libs/batch/src/orders.cpp
@@ -8,6 +8,41 @@
 namespace
 {
 
+/** Four for each connection, so that none is idle between two orders. A queued
+ * order must be sent well before its timeout (500 ms). */
+constexpr int max_unanswered_orders_per_worker = 16;
+/** With the longest spec, these take 8 MB, of 120 MB on the smallest instance.
+ */
+constexpr int max_unanswered_orders = 2048;
+constexpr int orders_for_narrow_steps = 4; //!< of those per worker
+constexpr int min_tasks_of_wide_step = 100;
+
+bool may_send_order(scheduler const& s, worker_record const& w)
+{
+    return w.unanswered_orders < max_unanswered_orders_per_worker &&
+           s.unanswered_orders < max_unanswered_orders;
+}
+
+void count_order(scheduler& s, worker_record& w)
+{
+    w.unanswered_orders += 1;
+    s.unanswered_orders += 1;
+}
+
+void count_answer(scheduler& s, std::string const& worker)
+{
+    auto const found = s.workers.find(worker);
+    if (found == s.workers.end() || found->second.unanswered_orders == 0)
+    {
+        return;
+    }
+    bool const was_full =
+        !takes_start(s, found->second, min_tasks_of_wide_step);
+    found->second.unanswered_orders -= 1;
+    s.unanswered_orders -= 1;
+    s.placement_due = s.placement_due || was_full;
+}
+
 void send_start(scheduler& s,
                 worker_record& w,
                 task_ref const& task,
@@ -26,6 +61,7 @@
     order.lease_until = lease_deadline(s, w);
     r.order_pending = true;
     r.start_attempts += 1;
+    count_order(s, w);
     s.effects.emplace_back(std::move(order));
 }
 
@@ -41,6 +77,7 @@
     order.run = r.run;
     order.token = w.token;
     r.order_pending = true;
+    count_order(s, w);
     s.effects.emplace_back(std::move(order));
 }
 
@@ -94,6 +131,15 @@
 
 } // namespace
 
+bool takes_start(scheduler const& s, worker_record const& w, int waiting)
+{
+    int const reserved =
+        waiting >= min_tasks_of_wide_step ? orders_for_narrow_steps : 0;
+    return w.held_orders == 0 &&
+           w.unanswered_orders + reserved < max_unanswered_orders_per_worker &&
+           s.unanswered_orders < max_unanswered_orders;
+}
+
 void start_run(scheduler& s,
                worker_record& w,
                job_record& j,
@@ -136,7 +182,14 @@
         "job=" + task.job + " task=" + to_string(task) + " run=" +
             std::to_string(run) + " worker=" + w.offer.id + " report_age_ms=" +
             std::to_string((s.now - w.clock_read_at).count()));
-    send_start(s, w, task, added);
+    if (may_send_order(s, w))
+    {
+        send_start(s, w, task, added);
+    }
+    else
+    {
+        w.held_orders += 1;
+    }
 }
 
 void stop_run(scheduler& s, worker_record& w, task_ref const& task)
@@ -152,11 +205,20 @@
         return;
     }
     r.phase = run_phase::stopping;
-    send_stop(s, w, task, r);
+    if (may_send_order(s, w))
+    {
+        send_stop(s, w, task, r);
+        return;
+    }
+    // The answer to the start, if one is awaited, doesn't delay the stop.
+    r.order_pending = false;
+    r.next_attempt = s.now;
+    w.held_orders += 1;
 }
 
 void handle_start_answer(scheduler& s, start_answered const& answer)
 {
+    count_answer(s, answer.worker);
     run_record* const r = find_run(s, answer.worker, answer.task, answer.run);
     if (answer.outcome == order_outcome::fenced)
     {
@@ -214,6 +276,7 @@
 
 void handle_stop_answer(scheduler& s, stop_answered const& answer)
 {
+    count_answer(s, answer.worker);
     if (answer.outcome == order_outcome::fenced)
     {
         handle_fenced_order(s, answer.worker, answer.token);
@@ -234,12 +297,13 @@
     r->next_attempt = s.now + s.settings.resend_interval;
 }
 
-void resend_orders(scheduler& s, worker_record& w)
+void send_due_orders(scheduler& s, worker_record& w)
 {
     if (!w.synced)
     {
         return;
     }
+    w.held_orders = 0;
     for (auto& run : w.runs)
     {
         run_record& r = run.second;
@@ -247,12 +311,21 @@
         {
             continue;
         }
-        if (r.phase == run_phase::starting && leads(s) && !w.unresponsive &&
-            !w.may_be_idle)
+        bool const starts = r.phase == run_phase::starting && leads(s) &&
+                            !w.unresponsive && !w.may_be_idle;
+        if (!starts && r.phase != run_phase::stopping)
+        {
+            continue;
+        }
+        if (!may_send_order(s, w))
+        {
+            w.held_orders += 1;
+        }
+        else if (starts)
         {
             send_start(s, w, run.first, r);
         }
-        else if (r.phase == run_phase::stopping)
+        else
         {
             send_stop(s, w, run.first, r);
         }
--- a/libs/batch/src/placing.cpp
+++ b/libs/batch/src/placing.cpp
@@ -105,8 +105,9 @@
     return a != b ? a < b : left.worker < right.worker;
 }
 
-/** Starts as many of the step's startable tasks as fit. */
-void start_on(scheduler& s, waiting_step& step, std::vector<candidate>& ready)
+/** Starts as many of the step's startable tasks as fit. Returns false if some
+ * fit but must wait until their workers have answered other orders. */
+bool start_on(scheduler& s, waiting_step& step, std::vector<candidate>& ready)
 {
     int const preference = speed_preference(s, step);
     std::sort(ready.begin(),
@@ -116,6 +117,8 @@
                   return packs_better(left, right, preference);
               });
     std::vector<task_record> const& tasks = step.record().tasks;
+    int const waiting = step.startable;
+    bool held = false;
     auto next = ready.begin();
     for (std::size_t k = 0; k < tasks.size() && step.startable > 0; ++k)
     {
@@ -123,19 +126,25 @@
         {
             continue;
         }
-        while (next != ready.end() && next->capacity == 0)
+        for (; next != ready.end(); ++next)
         {
-            ++next;
+            bool const takes = takes_start(s, *next->worker->w, waiting);
+            if (next->capacity > 0 && takes)
+            {
+                break;
+            }
+            held = held || next->capacity > 0;
         }
         if (next == ready.end())
         {
-            return;
+            return !held;
         }
         next->capacity -= 1;
         step.startable -= 1;
         place_task(
             s, step, static_cast<int>(k), step.j->next_run++, *next->worker);
     }
+    return true;
 }
 
 void place_single(scheduler& s, waiting_step step, free_capacity& capacity)
@@ -145,8 +154,8 @@
         return;
     }
     step_candidates found = find_candidates(s, step, capacity);
-    start_on(s, step, found.ready);
-    if (step.startable == 0 || !step.j->accepted.queue.advice)
+    bool const all_ordered = start_on(s, step, found.ready);
+    if (!all_ordered || step.startable == 0 || !step.j->accepted.queue.advice)
     {
         return;
     }
--- a/libs/batch/src/scheduler_records.hpp
+++ b/libs/batch/src/scheduler_records.hpp
@@ -112,6 +112,9 @@
     resources used;
     int unknown_sizes = 0; //!< runs of unknown size; `used` lacks them
     std::map<task_ref, run_record> runs;
+    int unanswered_orders = 0;
+    /** Orders that wait until others are answered, as of the last attempt. */
+    int held_orders = 0;
     /** The address in the stored roster; none: not recorded. */
     std::optional<address> recorded_address;
     std::int64_t roster_revision = 0; //!< of its record; 0: none
--- a/libs/batch/src/state.hpp
+++ b/libs/batch/src/state.hpp
@@ -18,6 +18,7 @@
     /** A short call found every requester busy in this placement pass. */
     bool short_call_denied = false;
     std::map<std::string, worker_record> workers;
+    int unanswered_orders = 0; //!< of all workers
     std::map<std::string, job_record> jobs;
     std::set<std::string> cancelled_early; //!< before the job was known
     std::set<std::string> active_jobs;     //!< jobs that have not ended
@@ -227,7 +228,16 @@
 void apply_earlier_reports(scheduler& s, std::string const& job);
 
 // ---- orders.cpp
+//
+// A worker has a bounded number of unanswered orders, and so has the fleet. The
+// others wait as runs whose order is due: they hold no copy of the spec and no
+// connection, and no timeout runs for them.
+
+/** Returns whether the worker takes the start of another task. A step with
+ * `waiting` tasks leaves some orders to steps with few. */
+bool takes_start(scheduler const& s, worker_record const& w, int waiting);
 
+/** Places a run; its order is sent at once unless too many are unanswered. */
 void start_run(scheduler& s,
                worker_record& w,
                job_record& j,
@@ -237,8 +247,9 @@
 void stop_run(scheduler& s, worker_record& w, task_ref const& task);
 void handle_start_answer(scheduler& s, start_answered const& answer);
 void handle_stop_answer(scheduler& s, stop_answered const& answer);
-/** Resends orders that are due for another attempt (`resend_interval`). */
-void resend_orders(scheduler& s, worker_record& w);
+/** Sends the orders that are due: those that waited for answers to others, and
+ * those without an answer for another attempt (`resend_interval`). */
+void send_due_orders(scheduler& s, worker_record& w);
 
 // ---- placing.cpp
 
