Keep records only of tasks that are placed or have failed

A step now keeps records of the tasks that are placed, have a checkpoint or have failed, and one bit for each that is done. The stored progress lists only tasks with failed runs; records of the former form are read as before.

--- a/libs/batch/src/gangs.cpp
+++ b/libs/batch/src/gangs.cpp
@@ -204,15 +204,13 @@
 void stop_gang(scheduler& s, waiting_step const& step)
 {
     step_record const& record = step.record();
-    for (std::size_t k = 0; k < record.tasks.size(); ++k)
+    for (auto const& task : record.tasks)
     {
-        task_record const& task = record.tasks[k];
-        auto const w = s.workers.find(task.worker);
-        if (task.phase == task_phase::placed && w != s.workers.end())
+        auto const w = s.workers.find(task.second.worker);
+        if (task.second.placed && w != s.workers.end())
         {
-            stop_run(s,
-                     w->second,
-                     {step.j->accepted.id, step.step, static_cast<int>(k)});
+            stop_run(
+                s, w->second, {step.j->accepted.id, step.step, task.first});
         }
     }
 }
--- a/libs/batch/src/jobs.cpp
+++ b/libs/batch/src/jobs.cpp
@@ -46,13 +46,12 @@
                        after.end(),
                        [&j](int earlier)
                        {
-                           step_record const& e =
-                               j.steps[static_cast<std::size_t>(earlier)];
-                           return e.done == static_cast<int>(e.tasks.size());
+                           return is_done(
+                               j.steps[static_cast<std::size_t>(earlier)]);
                        });
 }
 
-task_record* find_task(scheduler& s, task_ref const& task)
+step_record* find_step(scheduler& s, task_ref const& task)
 {
     auto const found = s.jobs.find(task.job);
     if (found == s.jobs.end() || task.step < 0 || task.index < 0 ||
@@ -62,9 +61,45 @@
     }
     step_record& step =
         found->second.steps[static_cast<std::size_t>(task.step)];
-    return task.index < static_cast<int>(step.tasks.size())
-               ? &step.tasks[static_cast<std::size_t>(task.index)]
-               : nullptr;
+    return task.index < step.count ? &step : nullptr;
+}
+
+bool is_done(step_record const& step)
+{
+    return step.done == step.count;
+}
+
+task_phase phase_of(step_record const& step, int index)
+{
+    if (!step.done_tasks.empty() &&
+        step.done_tasks[static_cast<std::size_t>(index)])
+    {
+        return task_phase::done;
+    }
+    return find_placed(step, index) != nullptr ? task_phase::placed
+                                               : task_phase::waiting;
+}
+
+task_record const* find_placed(step_record const& step, int index)
+{
+    auto const found = step.tasks.find(index);
+    return found != step.tasks.end() && found->second.placed ? &found->second
+                                                             : nullptr;
+}
+
+task_record& mark_placed(step_record& step,
+                         int index,
+                         std::string const& worker,
+                         std::uint64_t run)
+{
+    task_record& record = step.tasks[index];
+    record.placed = true;
+    record.worker = worker;
+    record.run = run;
+    step.waiting -= 1;
+    step.placed += 1;
+    step.gang_run = run;
+    return record;
 }
 
 void mark_changed(scheduler& s, job_record& j)
@@ -85,16 +120,32 @@
 namespace
 {
 
-void count_tasks(step_record& step)
+/** Marks a task as done that isn't. */
+void mark_done(step_record& step, int index)
 {
-    step.waiting = 0;
-    step.placed = 0;
-    step.done = 0;
-    for (task_record const& task : step.tasks)
+    (find_placed(step, index) != nullptr ? step.placed : step.waiting) -= 1;
+    step.done += 1;
+    step.tasks.erase(index);
+    step.done_tasks.resize(static_cast<std::size_t>(step.count));
+    step.done_tasks[static_cast<std::size_t>(index)] = true;
+}
+
+/** Returns a placed task to waiting. */
+void mark_waiting(step_record& step, int index, std::string const& checkpoint)
+{
+    auto const found = step.tasks.find(index);
+    task_record& record = found->second;
+    record.placed = false;
+    record.worker.clear();
+    if (!checkpoint.empty())
     {
-        step.waiting += task.phase == task_phase::waiting ? 1 : 0;
-        step.placed += task.phase == task_phase::placed ? 1 : 0;
-        step.done += task.phase == task_phase::done ? 1 : 0;
+        record.checkpoint = checkpoint;
+    }
+    step.placed -= 1;
+    step.waiting += 1;
+    if (record.checkpoint.empty() && record.failed_runs.empty())
+    {
+        step.tasks.erase(found);
     }
 }
 
@@ -106,15 +157,28 @@
     for (std::size_t i = 0; i < j.steps.size() && i < progress.done.size(); ++i)
     {
         step_record& step = j.steps[i];
-        for (std::size_t k = 0;
-             k < step.tasks.size() && k < progress.done[i].size();
+        std::vector<bool> const& done = progress.done[i];
+        for (int k = 0; k < step.count && k < static_cast<int>(done.size());
              ++k)
         {
-            step.tasks[k].phase =
-                progress.done[i][k] ? task_phase::done : task_phase::waiting;
-            step.tasks[k].failed_runs = progress.failed_runs[i][k];
+            if (done[static_cast<std::size_t>(k)])
+            {
+                mark_done(step, k);
+            }
+        }
+    }
+    for (std::size_t i = 0;
+         i < j.steps.size() && i < progress.failed_runs.size();
+         ++i)
+    {
+        for (auto const& failed : progress.failed_runs[i])
+        {
+            if (failed.first >= 0 && failed.first < j.steps[i].count &&
+                phase_of(j.steps[i], failed.first) != task_phase::done)
+            {
+                j.steps[i].tasks[failed.first].failed_runs = failed.second;
+            }
         }
-        count_tasks(step);
     }
 }
 
@@ -126,16 +190,14 @@
     for (std::size_t i = 0; i < j.steps.size(); ++i)
     {
         step_record& step = j.steps[i];
-        for (std::size_t k = 0; k < step.tasks.size(); ++k)
+        for (auto const& task : step.tasks)
         {
-            task_record const& task = step.tasks[k];
-            auto const w = s.workers.find(task.worker);
-            if (task.phase == task_phase::placed && w != s.workers.end())
+            auto const w = s.workers.find(task.second.worker);
+            if (task.second.placed && w != s.workers.end())
             {
-                stop_run(
-                    s,
-                    w->second,
-                    {j.accepted.id, static_cast<int>(i), static_cast<int>(k)});
+                stop_run(s,
+                         w->second,
+                         {j.accepted.id, static_cast<int>(i), task.first});
             }
         }
         step.advice.clear();
@@ -145,13 +207,7 @@
 
 void complete_if_done(scheduler& s, job_record& j)
 {
-    bool const all =
-        std::all_of(j.steps.begin(),
-                    j.steps.end(),
-                    [](step_record const& step)
-                    {
-                        return step.done == static_cast<int>(step.tasks.size());
-                    });
+    bool const all = std::all_of(j.steps.begin(), j.steps.end(), is_done);
     if (all && !has_ended(j.state))
     {
         end_job(s, j, job_state::completed);
@@ -184,8 +240,8 @@
     for (task_step const& step : j.accepted.steps)
     {
         step_record record;
-        record.tasks.resize(static_cast<std::size_t>(step.count));
-        count_tasks(record);
+        record.count = step.count;
+        record.waiting = step.count;
         j.steps.push_back(std::move(record));
     }
     note_work(s, j);
@@ -244,19 +300,16 @@
 
 void finish_task(scheduler& s, task_ref const& task)
 {
-    task_record* const record = find_task(s, task);
-    if (record == nullptr || record->phase == task_phase::done)
+    step_record* const step = find_step(s, task);
+    if (step == nullptr || phase_of(*step, task.index) == task_phase::done)
     {
         return;
     }
     job_record& j = s.jobs.at(task.job);
-    step_record& step = j.steps[static_cast<std::size_t>(task.step)];
-    record->phase = task_phase::done;
-    record->checkpoint.clear();
-    count_tasks(step);
-    if (step.done == static_cast<int>(step.tasks.size()))
+    mark_done(*step, task.index);
+    if (is_done(*step))
     {
-        learn_speeds(s, step);
+        learn_speeds(s, *step);
     }
     mark_changed(s, j);
     s.placement_due = true;
@@ -265,14 +318,18 @@
 
 void fail_task(scheduler& s, task_ref const& task, std::uint64_t run)
 {
-    task_record* const record = find_task(s, task);
-    if (record == nullptr || record->phase == task_phase::done ||
-        !record->failed_runs.insert(run).second)
+    step_record* const step = find_step(s, task);
+    if (step == nullptr || phase_of(*step, task.index) == task_phase::done)
+    {
+        return;
+    }
+    std::set<std::uint64_t>& failed_runs = step->tasks[task.index].failed_runs;
+    if (!failed_runs.insert(run).second)
     {
         return;
     }
     job_record& j = s.jobs.at(task.job);
-    int const failures = static_cast<int>(record->failed_runs.size());
+    int const failures = static_cast<int>(failed_runs.size());
     mark_changed(s, j);
     log(s,
         events::task_failed,
@@ -291,35 +348,29 @@
                   std::uint64_t run,
                   std::string const& checkpoint)
 {
-    task_record* const record = find_task(s, task);
-    if (record == nullptr || record->phase != task_phase::placed ||
-        record->run != run)
+    step_record* const step = find_step(s, task);
+    task_record const* const record =
+        step == nullptr ? nullptr : find_placed(*step, task.index);
+    if (record == nullptr || record->run != run)
     {
         return;
     }
-    job_record& j = s.jobs.at(task.job);
-    record->phase = task_phase::waiting;
-    record->worker.clear();
-    if (!checkpoint.empty())
-    {
-        record->checkpoint = checkpoint;
-    }
-    step_record& step = j.steps[static_cast<std::size_t>(task.step)];
-    count_tasks(step);
+    mark_waiting(*step, task.index, checkpoint);
     s.placement_due = true;
-    if (!j.accepted.steps[static_cast<std::size_t>(task.step)].gang)
+    if (!s.jobs.at(task.job)
+             .accepted.steps[static_cast<std::size_t>(task.step)]
+             .gang)
     {
         return;
     }
     // A gang can't run in part: stops the other members of this run.
-    for (std::size_t k = 0; k < step.tasks.size(); ++k)
+    for (auto const& member : step->tasks)
     {
-        task_record const& member = step.tasks[k];
-        auto const w = s.workers.find(member.worker);
-        if (member.phase == task_phase::placed && member.run == run &&
+        auto const w = s.workers.find(member.second.worker);
+        if (member.second.placed && member.second.run == run &&
             w != s.workers.end())
         {
-            stop_run(s, w->second, {task.job, task.step, static_cast<int>(k)});
+            stop_run(s, w->second, {task.job, task.step, member.first});
         }
     }
 }
--- a/libs/batch/src/orders.cpp
+++ b/libs/batch/src/orders.cpp
@@ -150,13 +150,7 @@
     std::size_t const at = static_cast<std::size_t>(task.step);
     task_step const& shape = j.accepted.steps[at];
     step_record& step = j.steps[at];
-    task_record& record = step.tasks[static_cast<std::size_t>(task.index)];
-    record.phase = task_phase::placed;
-    record.worker = w.offer.id;
-    record.run = run;
-    step.waiting -= 1;
-    step.placed += 1;
-    step.gang_run = run;
+    task_record const& record = mark_placed(step, task.index, w.offer.id, run);
     if (j.state == job_state::queued)
     {
         j.state = job_state::running;
--- a/libs/batch/src/placing.cpp
+++ b/libs/batch/src/placing.cpp
@@ -116,16 +116,11 @@
               {
                   return packs_better(left, right, preference);
               });
-    std::vector<task_record> const& tasks = step.record().tasks;
     int const waiting = step.startable;
     bool held = false;
     auto next = ready.begin();
-    for (std::size_t k = 0; k < tasks.size() && step.startable > 0; ++k)
+    for (int k = 0; k < step.shape().count && step.startable > 0; ++k)
     {
-        if (tasks[k].phase != task_phase::waiting)
-        {
-            continue;
-        }
         for (; next != ready.end(); ++next)
         {
             bool const takes = takes_start(s, *next->worker->w, waiting);
@@ -139,10 +134,13 @@
         {
             return !held;
         }
+        if (phase_of(step.record(), k) != task_phase::waiting)
+        {
+            continue;
+        }
         next->capacity -= 1;
         step.startable -= 1;
-        place_task(
-            s, step, static_cast<int>(k), step.j->next_run++, *next->worker);
+        place_task(s, step, k, step.j->next_run++, *next->worker);
     }
     return true;
 }
--- a/libs/batch/src/runs.cpp
+++ b/libs/batch/src/runs.cpp
@@ -14,8 +14,9 @@
  */
 void stop_duplicate_run(scheduler& s, task_ref const& task, std::uint64_t run)
 {
-    task_record const* const record = find_task(s, task);
-    if (record->phase != task_phase::placed || record->run == run)
+    task_record const* const record =
+        find_placed(*find_step(s, task), task.index);
+    if (record == nullptr || record->run == run)
     {
         return;
     }
@@ -38,18 +39,18 @@
 
 void adopt_run(scheduler& s, worker_record& w, active_run const& seen)
 {
-    task_record* const task = find_task(s, seen.task);
+    step_record* const of = find_step(s, seen.task);
     run_record record;
     record.run = seen.run;
     record.phase = run_phase::running;
     record.reported = true;
     record.started = s.now;
     record.checkpoint = seen.checkpoint;
-    record.unknown_size = task == nullptr;
+    record.unknown_size = of == nullptr;
     record.read = next_job_read(s);
     w.unknown_sizes += record.unknown_size ? 1 : 0;
     bool wanted = false;
-    if (task != nullptr)
+    if (of != nullptr)
     {
         job_record& j = s.jobs.at(seen.task.job);
         task_step const& step =
@@ -57,19 +58,13 @@
         record.size = step.size;
         record.customer = j.accepted.customer;
         record.expected_end = s.now + step.estimate;
-        step_record& of = j.steps[static_cast<std::size_t>(seen.task.step)];
-        bool const same_gang = !step.gang || of.gang_run == 0 ||
-                               of.gang_run == seen.run || of.placed == 0;
-        wanted = !has_ended(j.state) && task->phase == task_phase::waiting &&
-                 same_gang;
+        bool const same_gang = !step.gang || of->gang_run == 0 ||
+                               of->gang_run == seen.run || of->placed == 0;
+        wanted = !has_ended(j.state) && same_gang &&
+                 phase_of(*of, seen.task.index) == task_phase::waiting;
         if (wanted)
         {
-            task->phase = task_phase::placed;
-            task->worker = w.offer.id;
-            task->run = seen.run;
-            of.waiting -= 1;
-            of.placed += 1;
-            of.gang_run = seen.run;
+            mark_placed(*of, seen.task.index, w.offer.id, seen.run);
             j.has_started = true;
         }
     }
@@ -86,8 +81,8 @@
 
 void apply_run_end(scheduler& s, worker_record& w, finished_run const& end)
 {
-    task_record* const task = find_task(s, end.task);
-    if (task == nullptr)
+    step_record* const step = find_step(s, end.task);
+    if (step == nullptr)
     {
         return;
     }
@@ -98,10 +93,8 @@
     if (end.how == run_end::done)
     {
         note_success(w);
-        int const members = static_cast<int>(
-            j.steps[static_cast<std::size_t>(end.task.step)].tasks.size());
         int const first = gang ? 0 : end.task.index;
-        int const last = gang ? members : end.task.index + 1;
+        int const last = gang ? step->count : end.task.index + 1;
         for (int k = first; k < last; ++k)
         {
             stop_duplicate_run(s, {end.task.job, end.task.step, k}, end.run);
@@ -109,7 +102,8 @@
         }
         return;
     }
-    if (end.how == run_end::failed && task->phase != task_phase::done)
+    if (end.how == run_end::failed &&
+        phase_of(*step, end.task.index) != task_phase::done)
     {
         note_failure(s, w, j);
         // A gang fails as a whole, so its failures count on its first member.
--- a/libs/batch/src/saving.cpp
+++ b/libs/batch/src/saving.cpp
@@ -20,14 +20,15 @@
     p.state = j.state;
     for (step_record const& step : j.steps)
     {
-        std::vector<bool> done;
-        std::vector<std::set<std::uint64_t>> failed_runs;
-        for (task_record const& task : step.tasks)
+        std::map<int, std::set<std::uint64_t>> failed_runs;
+        for (auto const& task : step.tasks)
         {
-            done.push_back(task.phase == task_phase::done);
-            failed_runs.push_back(task.failed_runs);
+            if (!task.second.failed_runs.empty())
+            {
+                failed_runs.emplace(task.first, task.second.failed_runs);
+            }
         }
-        p.done.push_back(std::move(done));
+        p.done.push_back(step.done_tasks);
         p.failed_runs.push_back(std::move(failed_runs));
     }
     return p;
--- a/libs/batch/src/scheduler_records.hpp
+++ b/libs/batch/src/scheduler_records.hpp
@@ -136,9 +136,10 @@
     done
 };
 
+/** A task that isn't done and has been placed, or has failed. */
 struct task_record
 {
-    task_phase phase = task_phase::waiting;
+    bool placed = false;
     std::set<std::uint64_t> failed_runs;
     std::string checkpoint;
     std::string worker; //!< while placed
@@ -164,7 +165,11 @@
 
 struct step_record
 {
-    std::vector<task_record> tasks;
+    int count = 0; //!< of tasks
+    /** By index. Tasks without a record have never been placed, or are done:
+     * a job may have far more tasks than are placed at a time. */
+    std::map<int, task_record> tasks;
+    std::vector<bool> done_tasks; //!< by index; empty while none is done
     int waiting = 0;
     int placed = 0;
     int done = 0;
--- a/libs/batch/src/state.hpp
+++ b/libs/batch/src/state.hpp
@@ -89,7 +89,17 @@
  * lower urgency once the step is late, and `worthless_rank` once its result has
  * no value even late. */
 int placement_rank(job_record const& j, std::size_t step, instant now);
-task_record* find_task(scheduler& s, task_ref const& task);
+/** Returns the task's step, or null if there is no such task. */
+step_record* find_step(scheduler& s, task_ref const& task);
+bool is_done(step_record const& step);
+task_phase phase_of(step_record const& step, int index);
+/** Returns the placed task, or null if it isn't placed. */
+task_record const* find_placed(step_record const& step, int index);
+/** Marks a waiting task as placed. */
+task_record& mark_placed(step_record& step,
+                         int index,
+                         std::string const& worker,
+                         std::uint64_t run);
 
 // ---- workers.cpp
 
--- a/libs/batch/src/workers.cpp
+++ b/libs/batch/src/workers.cpp
@@ -133,7 +133,7 @@
     auto const found = w.runs.find(end.task);
     bool const held = found != w.runs.end() && found->second.run == end.run;
     bool const job_ended = held && job_has_ended(s, found->second);
-    bool const known = find_task(s, end.task) != nullptr;
+    bool const known = find_step(s, end.task) != nullptr;
     if (held)
     {
         if (known && end.how == run_end::done)
--- a/libs/job_model/include/job_model/job_model.hpp
+++ b/libs/job_model/include/job_model/job_model.hpp
@@ -2,6 +2,7 @@
 
 #include "base/base.hpp"
 
+#include <map>
 #include <optional>
 #include <set>
 #include <string>
@@ -154,10 +155,12 @@
 struct job_progress
 {
     job_state state = job_state::queued;
-    std::vector<std::vector<bool>> done; //!< by step and task
-    /** The numbers of the failed runs, by step and task. A set, because workers
-     * may report ends again, in any order, to a placer that takes over. */
-    std::vector<std::vector<std::set<std::uint64_t>>> failed_runs;
+    /** By step and task; empty for a step of which no task is done. */
+    std::vector<std::vector<bool>> done;
+    /** The numbers of the failed runs, by step, of the tasks that have any and
+     * aren't done. A set, because workers may report ends again, in any order,
+     * to a placer that takes over. */
+    std::vector<std::map<int, std::set<std::uint64_t>>> failed_runs;
 
     bool operator==(job_progress const&) const = default;
 };
--- a/libs/job_model/src/records.cpp
+++ b/libs/job_model/src/records.cpp
@@ -11,6 +11,8 @@
 using nlohmann::json;
 
 constexpr int record_version = 1;
+/** Version 1 listed the failed runs of every task. */
+constexpr int progress_version = 2;
 
 json to_json(task_step const& step)
 {
@@ -192,10 +194,21 @@
         }
         done.push_back(bits);
     }
-    return to_bytes(json{{"v", record_version},
+    json failed = json::array();
+    for (std::map<int, std::set<std::uint64_t>> const& step :
+         progress.failed_runs)
+    {
+        json tasks = json::array();
+        for (auto const& task : step)
+        {
+            tasks.push_back({task.first, task.second});
+        }
+        failed.push_back(std::move(tasks));
+    }
+    return to_bytes(json{{"v", progress_version},
                          {"s", static_cast<int>(progress.state)},
                          {"d", std::move(done)},
-                         {"f", progress.failed_runs}});
+                         {"f", std::move(failed)}});
 }
 
 result<job_progress> decode_progress(std::string const& bytes)
@@ -219,7 +232,25 @@
             }
             out.done.push_back(std::move(done));
         }
-        from.at("f").get_to(out.failed_runs);
+        bool const lists_all_tasks = from.at("v").get<int>() < progress_version;
+        for (json const& step : from.at("f"))
+        {
+            std::map<int, std::set<std::uint64_t>> failed;
+            int index = 0;
+            for (json const& task : step)
+            {
+                std::set<std::uint64_t> runs;
+                (lists_all_tasks ? task : task.at(1)).get_to(runs);
+                if (!runs.empty())
+                {
+                    failed.emplace(lists_all_tasks ? index
+                                                   : task.at(0).get<int>(),
+                                   std::move(runs));
+                }
+                ++index;
+            }
+            out.failed_runs.push_back(std::move(failed));
+        }
         return out;
     }
     catch (json::exception const& problem)
