Let open jobs follow their queue to another service

Cause: the placer went by the copy of the queue's rule that is stored with the job, for its service as for its terms of advice; the scheduler was told of a configuration's customers only.

The queues of each configuration are an event of the scheduler now. Service and advice follow the configuration in force; priority, objective and attempts stay as accepted (docs/design/queue-terms.md). A job's record has the version by which it was accepted, so that a placer that is behind doesn't place it by an older one.

Tests: moved_queue.takes_its_accepted_jobs_along (once, before_a_successor, with_gangs), queue_of_a_job.stays_as_it_was_when_it_is_removed and queue_of_a_job.may_begin_to_need_advice failed before; and_back and is_the_accepted_one_if_that_is_newer held before and after.

--- a/libs/batch/include/batch/batch.hpp
+++ b/libs/batch/include/batch/batch.hpp
@@ -255,6 +255,13 @@
     std::vector<customer_share> customers;
 };
 
+/** A configuration with other queues is in force. */
+struct queues_changed
+{
+    std::int64_t version = 0; //!< of the configuration
+    std::vector<queue_rule> queues;
+};
+
 /** The names of the daemons that can request advice have changed. */
 struct advice_requesters_changed
 {
@@ -278,6 +285,7 @@
                                 progress_saved,
                                 roster_saved,
                                 customers_changed,
+                                queues_changed,
                                 advice_requesters_changed>;
 
 struct event
--- a/libs/batch/src/admission.cpp
+++ b/libs/batch/src/admission.cpp
@@ -54,7 +54,7 @@
                        instant now,
                        std::vector<double>& by_priority)
 {
-    double const each_ms = first_call_ms(j.accepted) * calls_per_step;
+    double const each_ms = first_call_ms(j) * calls_per_step;
     double calls_ms = 0.0;
     for (step_record const& step : j.steps)
     {
--- a/libs/batch/src/advice.cpp
+++ b/libs/batch/src/advice.cpp
@@ -104,11 +104,10 @@
            (prior_weight + seen.asked);
 }
 
-double first_call_ms(job const& given)
+double first_call_ms(job_record const& j)
 {
-    return given.queue.advice
-               ? given.queue.advice->decision_ms * first_call_factor
-               : 0.0;
+    return j.terms.advice ? j.terms.advice->decision_ms * first_call_factor
+                          : 0.0;
 }
 
 bool call_advisor(scheduler& s,
@@ -122,7 +121,7 @@
     {
         return false;
     }
-    advice_terms const& terms = *j.accepted.queue.advice;
+    advice_terms const& terms = *j.terms.advice;
     double const cost =
         terms.decision_ms +
         terms.per_worker_ms * static_cast<double>(workers.size());
--- a/libs/batch/src/batch.cpp
+++ b/libs/batch/src/batch.cpp
@@ -135,6 +135,11 @@
         handle_customers(this->s, given);
     }
 
+    void operator()(queues_changed const& given) const
+    {
+        handle_queues(this->s, given);
+    }
+
     void operator()(advice_requesters_changed const& given) const
     {
         std::map<std::string, requester_record> next;
--- a/libs/batch/src/capacity.cpp
+++ b/libs/batch/src/capacity.cpp
@@ -36,7 +36,7 @@
 bool is_eligible(worker_record const& w, waiting_step const& step)
 {
     task_step const& shape = step.shape();
-    return w.offer.service == step.j->accepted.queue.service &&
+    return w.offer.service == step.j->terms.service &&
            (shape.required_label.empty() || has_label(w, shape.required_label));
 }
 
@@ -193,7 +193,7 @@
         (avoids(s, *step.j, *worker.w) ? found.avoided : found.ready)
             .push_back(c);
     };
-    if (!step.j->accepted.queue.advice)
+    if (!step.j->terms.advice)
     {
         for (worker_view& worker : capacity.workers)
         {
@@ -255,7 +255,7 @@
                                           free_capacity& capacity)
 {
     std::vector<worker_view*> found;
-    if (!step.j->accepted.queue.advice)
+    if (!step.j->terms.advice)
     {
         for (worker_view& worker : capacity.workers)
         {
@@ -281,7 +281,7 @@
 
 bool awaits_advice(waiting_step const& step, worker_view const& worker)
 {
-    return step.j->accepted.queue.advice &&
+    return step.j->terms.advice &&
            step.record().advice.count(worker.w->number) == 0 &&
            is_eligible(*worker.w, step);
 }
@@ -299,7 +299,7 @@
     double const wanted =
         step.startable *
         (step.shape().gang ? gang_capacity_factor : capacity_factor);
-    advice_terms const& terms = *step.j->accepted.queue.advice;
+    advice_terms const& terms = *step.j->terms.advice;
     double const cheap = terms.decision_ms * cheap_time_share;
     auto const request = [&](candidate const& c, double likely)
     {
--- a/libs/batch/src/gangs.cpp
+++ b/libs/batch/src/gangs.cpp
@@ -320,7 +320,7 @@
         start_gang(s, step, choose_gang_workers(step.shape(), found.ready));
         return;
     }
-    if (step.j->accepted.queue.advice)
+    if (step.j->terms.advice)
     {
         request_gang_advice(s, step, capacity, found);
     }
--- a/libs/batch/src/jobs.cpp
+++ b/libs/batch/src/jobs.cpp
@@ -228,6 +228,8 @@
     }
     job_record& j = s.jobs[given.accepted.id];
     j.accepted = given.accepted;
+    j.terms = {j.accepted.queue.service, j.accepted.queue.advice};
+    apply_queue_terms(s, j);
     j.adopted = given.accepted.epoch < s.settings.epoch;
     j.beyond_share = !j.adopted && !take_share(s, j.accepted.customer);
     j.arrived = s.now;
--- a/libs/batch/src/orders.cpp
+++ b/libs/batch/src/orders.cpp
@@ -173,8 +173,9 @@
     run_record& added = w.runs[task] = r;
     log(s,
         events::task_started,
-        "job=" + task.job + " task=" + to_string(task) + " run=" +
-            std::to_string(run) + " worker=" + w.offer.id + " report_age_ms=" +
+        "job=" + task.job + " task=" + to_string(task) +
+            " run=" + std::to_string(run) + " worker=" + w.offer.id +
+            " config=" + std::to_string(s.config_version) + " report_age_ms=" +
             std::to_string((s.now - w.clock_read_at).count()));
     if (may_send_order(s, w))
     {
--- a/libs/batch/src/placing.cpp
+++ b/libs/batch/src/placing.cpp
@@ -65,7 +65,7 @@
             if (w.rank == worthless_rank)
             {
                 w.no_tickets = j.steps[i].tickets_until <= s.now;
-                w.call_ms = first_call_ms(j.accepted);
+                w.call_ms = first_call_ms(j);
             }
             all.push_back(w);
         }
@@ -153,7 +153,7 @@
     }
     step_candidates found = find_candidates(s, step, capacity);
     bool const all_ordered = start_on(s, step, found.ready);
-    if (!all_ordered || step.startable == 0 || !step.j->accepted.queue.advice)
+    if (!all_ordered || step.startable == 0 || !step.j->terms.advice)
     {
         return;
     }
--- a/libs/batch/src/scheduler_records.hpp
+++ b/libs/batch/src/scheduler_records.hpp
@@ -195,9 +195,21 @@
     instant avoid_until; //!< the job prefers other workers until then
 };
 
+/** The terms of a queue that follow the configuration in force, also for jobs
+ * that were accepted before; the others are as accepted
+ * (docs/design/queue-terms.md). */
+struct queue_terms
+{
+    std::string service;
+    std::optional<advice_terms> advice;
+
+    bool operator==(queue_terms const&) const = default;
+};
+
 struct job_record
 {
     job accepted;
+    queue_terms terms;
     job_state state = job_state::queued; //!< as decided, perhaps not yet stored
     job_state stored_state = job_state::queued; //!< as shown to callers
     std::vector<step_record> steps;
--- a/libs/batch/src/state.hpp
+++ b/libs/batch/src/state.hpp
@@ -23,6 +23,8 @@
     std::set<std::string> cancelled_early; //!< before the job was known
     std::set<std::string> active_jobs;     //!< jobs that have not ended
     std::map<std::string, customer_record> customers; //!< by name
+    std::int64_t config_version = 0; //!< of `queues`; 0: none is known
+    std::map<std::string, queue_terms> queues; //!< by name
     /** The configuration has been read; before, no job of a customer starts. */
     bool customers_known = false;
     speed_statistics speeds;
@@ -183,6 +185,13 @@
 /** Returns when the customer's next job is within its share; 0: now. */
 milliseconds time_to_share(customer_record const& c, instant now);
 
+// ---- queues.cpp
+
+void handle_queues(scheduler& s, queues_changed const& given);
+/** Lets the job go by its queue as it is in the configuration in force. Returns
+ * whether that changes anything. */
+bool apply_queue_terms(scheduler& s, job_record& j);
+
 // ---- speed.cpp
 //
 // The tasks of one step are compared with each other, which cancels the error
@@ -279,7 +288,7 @@
                   bool late);
 /** Returns the estimated time of a step's first advice call, or 0 if its queue
  * needs no advice. */
-double first_call_ms(job const& given);
+double first_call_ms(job_record const& j);
 /** Returns the estimated share of workers that the advisor allows for the job's
  * queue. */
 double allowed_share(scheduler const& s, job_record const& j);
--- a/libs/cell/src/caller_api.cpp
+++ b/libs/cell/src/caller_api.cpp
@@ -107,6 +107,7 @@
     submission submitted;
     submitted.job = std::move(read.assume_value());
     submitted.job.epoch = this->placer_epoch;
+    submitted.job.config_version = this->shared.config->version;
     submitted.record = batch::encode_job(submitted.job);
     submitted.arrived = this->shared.now();
     submitted.deadline = submitted.arrived +
--- a/libs/cell/src/placer.cpp
+++ b/libs/cell/src/placer.cpp
@@ -116,6 +116,10 @@
     {
         return;
     }
+    // The queues come first: a job must not start by the former ones because
+    // its customer's cap became known.
+    this->step_scheduler(batch::queues_changed{this->shared.config->version,
+                                               this->shared.config->queues});
     batch::customers_changed event;
     if (this->shared.config->customers)
     {
--- a/libs/cell/src/placer.hpp
+++ b/libs/cell/src/placer.hpp
@@ -43,7 +43,8 @@
     void handle_cancel(std::string const& job);
     void handle_advice(batch::advice_answered const& answer);
     void set_askers(std::vector<std::string> const& names);
-    /** Reads the customers' caps and shares from the daemon's configuration. */
+    /** Passes on the queues, and the customers' caps and shares, of the
+     * daemon's configuration. */
     void handle_config();
 
     /** Sets the highest epoch that this daemon has claimed and the revision of
--- a/libs/event_numbers/include/event_numbers/event_numbers.hpp
+++ b/libs/event_numbers/include/event_numbers/event_numbers.hpp
@@ -83,6 +83,7 @@
 constexpr int roster_changed = 620;
 constexpr int records_read = 621;
 constexpr int leadership_changed = 622;
+constexpr int queue_changed = 623;
 
 constexpr int malformed_link_message = 700;
 constexpr int malformed_answer = 701;
--- a/libs/events_log/src/catalogue.cpp
+++ b/libs/events_log/src/catalogue.cpp
@@ -74,6 +74,7 @@
         {events::roster_changed, info, "roster changed"},
         {events::records_read, info, "records read"},
         {events::leadership_changed, info, "leadership changed"},
+        {events::queue_changed, info, "queue changed"},
         {events::malformed_link_message, warning, "malformed link message"},
         {events::malformed_answer, warning, "malformed answer"},
     };
--- a/libs/job_model/include/job_model/job_model.hpp
+++ b/libs/job_model/include/job_model/job_model.hpp
@@ -126,6 +126,8 @@
     std::vector<task_step> steps;
     std::uint64_t epoch = 0; //!< placers of a lower epoch must not start it
     std::string customer;    //!< whose caps and shares apply; empty: none
+    /** Version of the configuration that `queue` is from; 0: not known. */
+    std::int64_t config_version = 0;
 
     bool operator==(job const&) const = default;
 };
--- a/libs/job_model/src/records.cpp
+++ b/libs/job_model/src/records.cpp
@@ -124,6 +124,10 @@
     {
         record["cu"] = given.customer;
     }
+    if (given.config_version != 0)
+    {
+        record["cv"] = given.config_version;
+    }
     return to_bytes(record);
 }
 
@@ -137,6 +141,7 @@
         from.at("ep").get_to(out.epoch);
         from.at("spec").get_to(out.spec);
         out.customer = from.value("cu", "");
+        out.config_version = from.value("cv", std::int64_t{0});
         out.queue = to_queue(from.at("q"));
         for (json const& step : from.at("steps"))
         {
