Keep a job from being stored after its cancellation was answered with 410

Cause: a cancellation of a job that isn't stored left nothing behind, while submissions that are held, relayed or executed late by the store went on; their transaction requires only that neither the job nor its end exists.

"No such job" is now answered once an end record with a mark is stored, on condition that neither exists. So the submission's own condition fails, however late it is. Its caller, if he is still there, gets 503: the job was not accepted and never runs.

Tests: stores_no_job_that_was_cancelled_before, stores_no_relayed_job_that_was_cancelled, stores_no_cancelled_job_after_leases_ended and cancellation_beside_a_submission (as long as the cancellation comes first) failed before.

--- a/libs/cell/src/caller_api.cpp
+++ b/libs/cell/src/caller_api.cpp
@@ -293,6 +293,7 @@
     // epochs may be lower, and tell the placer whether a former one may have
     // started them.
     std::map<std::string, std::optional<job_message>> present;
+    std::set<std::string> cancelled;
     for (platform::kv_item const& item : outcome.found)
     {
         if (item.revision == 0 || item.deleted)
@@ -300,7 +301,11 @@
             continue;
         }
         std::string const job = keys::strip_prefix(item.key, keys::jobs);
-        if (job.empty())
+        if (job.empty() && item.value == keys::cancel_mark)
+        {
+            cancelled.insert(keys::strip_prefix(item.key, keys::ends));
+        }
+        else if (job.empty())
         {
             present.emplace(keys::strip_prefix(item.key, keys::ends),
                             std::nullopt);
@@ -317,6 +322,10 @@
         {
             this->accept(each, found->second);
         }
+        else if (cancelled.count(each.job.id) != 0)
+        {
+            this->reject_cancelled(each);
+        }
         else
         {
             this->queue.push_front(std::move(each));
@@ -350,12 +359,29 @@
                 kept->answer(platform::encode_accepted());
                 return;
             }
+            if (reply.outcome == relay_outcome::absent)
+            {
+                self->reject_cancelled(*kept);
+                return;
+            }
             kept->outcome_unknown = kept->outcome_unknown ||
                                     reply.outcome == relay_outcome::unknown;
             self->retry_or_give_up(std::move(*kept), why);
         });
 }
 
+void caller_api::reject_cancelled(submission const& submitted)
+{
+    this->shared.log_event(events::job_rejected,
+                           "job=" + submitted.job.id + " queue=" +
+                               submitted.job.queue.name + " why=cancelled");
+    // A peer passes "gone" on; the caller learns that the job never runs.
+    submitted.answer(platform::encode_error(
+        submitted.from_peer ? http_status::gone
+                            : http_status::service_unavailable,
+        "the job was cancelled"));
+}
+
 /** A write that may have succeeded is repeated until the deadline, so that
  * the caller learns the outcome. */
 void caller_api::retry_or_give_up(submission submitted, error const& why)
--- a/libs/cell/src/caller_api.hpp
+++ b/libs/cell/src/caller_api.hpp
@@ -77,6 +77,7 @@
     struct stored_record
     {
         bool known = false;
+        bool cancelled_early = false; //!< cancelled before it was stored
         batch::job_state state = batch::job_state::queued;
     };
 
@@ -129,6 +130,17 @@
                       http_responder const& answer,
                       instant deadline);
     void relay_query(std::string const& job, http_responder const& answer);
+    /** Stores an end record that keeps the job from being stored later, then
+     * answers "no such job". */
+    void mark_cancelled(std::string const& job,
+                        http_responder const& answer,
+                        instant deadline);
+    void handle_mark_conflict(std::vector<platform::kv_item> const& found,
+                              std::string const& job,
+                              http_responder const& answer,
+                              instant deadline);
+    /** Answers a submission of a job that was cancelled before. */
+    void reject_cancelled(submission const& submitted);
     void retry_or_give_up(submission submitted, error const& why);
     void store_cancel(std::string const& job,
                       http_responder const& answer,
--- a/libs/cell/src/caller_api_records.cpp
+++ b/libs/cell/src/caller_api_records.cpp
@@ -2,6 +2,8 @@
 
 #include "keys.hpp"
 
+#include <algorithm>
+
 namespace cicada::cell
 {
 
@@ -127,6 +129,11 @@
                 return;
             }
             platform::kv_item const& found = item.assume_value();
+            if (found.value == keys::cancel_mark)
+            {
+                then(stored_record{false, true});
+                return;
+            }
             if (found.revision == 0)
             {
                 self->find_record_from(record_keys, index + 1, then);
@@ -181,16 +188,85 @@
                                   job, answer, deadline, found.assume_error());
                               return;
                           }
-                          if (!found.assume_value().known)
+                          if (found.assume_value().cancelled_early)
                           {
                               answer(platform::encode_error(http_status::gone,
                                                             "no such job"));
                               return;
                           }
+                          if (!found.assume_value().known)
+                          {
+                              self->mark_cancelled(job, answer, deadline);
+                              return;
+                          }
                           self->store_cancel(job, answer, deadline);
                       });
 }
 
+/** Without the mark, a submission that is still on its way would be stored and
+ * run after the answer: one that a daemon holds or relays, or whose transaction
+ * the store executes late. */
+void caller_api::mark_cancelled(std::string const& job,
+                                http_responder const& answer,
+                                instant deadline)
+{
+    platform::kv_transaction change;
+    change.conditions.push_back({keys::jobs + job, 0});
+    change.conditions.push_back({keys::ends + job, 0});
+    change.writes.push_back({keys::ends + job, keys::cancel_mark, 0});
+    this->shared.store.commit(
+        change,
+        [self = this->shared_from_this(),
+         job,
+         answer,
+         deadline,
+         call = store_call{"what=cancel_mark job=" + job, this->shared.now()}](
+            result<platform::kv_commit_result> const& reply)
+        {
+            self->shared.record_store_call(call, reply);
+            if (!reply.has_value())
+            {
+                self->handle_cancel_failure(
+                    job, answer, deadline, reply.assume_error());
+                return;
+            }
+            platform::kv_commit_result const& outcome = reply.assume_value();
+            if (outcome.outcome != platform::kv_commit_status::committed)
+            {
+                self->handle_mark_conflict(
+                    outcome.found, job, answer, deadline);
+                return;
+            }
+            self->shared.log_event(events::cancel_submitted,
+                                   "job=" + job + " known=no");
+            answer(platform::encode_error(http_status::gone, "no such job"));
+        });
+}
+
+/** The job was stored, or another cancellation of it, since it was looked for.
+ */
+void caller_api::handle_mark_conflict(
+    std::vector<platform::kv_item> const& found,
+    std::string const& job,
+    http_responder const& answer,
+    instant deadline)
+{
+    bool const marked = std::any_of(found.begin(),
+                                    found.end(),
+                                    [&job](platform::kv_item const& item)
+                                    {
+                                        return item.key == keys::ends + job &&
+                                               !item.deleted &&
+                                               item.value == keys::cancel_mark;
+                                    });
+    if (marked)
+    {
+        answer(platform::encode_error(http_status::gone, "no such job"));
+        return;
+    }
+    this->store_cancel(job, answer, deadline);
+}
+
 void caller_api::store_cancel(std::string const& job,
                               http_responder const& answer,
                               instant deadline)
--- a/libs/cell/src/keys.hpp
+++ b/libs/cell/src/keys.hpp
@@ -18,6 +18,9 @@
 constexpr char const* cancels = "in/cancel/";
 constexpr char const* progress = "out/"; //!< of unfinished jobs
 constexpr char const* ends = "end/";     //!< final states of finished jobs
+/** Value of an end record of a job that was cancelled before it was stored, and
+ * must not be stored any more. */
+constexpr char const* cancel_mark = "cancelled before it was stored";
 /** Workers that may run tasks; read by a new placer. */
 constexpr char const* roster = "roster/";
 constexpr char const* config = "op/config";
--- a/libs/cell/tests/caller_api_test.cpp
+++ b/libs/cell/tests/caller_api_test.cpp
@@ -43,6 +43,14 @@
         {
             return std::string();
         };
+        ports.send = [this](std::string const&, message const& m)
+        {
+            if (std::holds_alternative<relay_reply>(m))
+            {
+                this->relayed = std::get<relay_reply>(m);
+            }
+            return true;
+        };
         ports.local_state = [](std::string const&)
         {
             return std::optional<batch::job_state>();
@@ -53,30 +61,73 @@
         this->api->handle_load(load);
     }
 
+    static http_request submission(std::string const& step = R"({"count":1})")
+    {
+        return {"POST",
+                std::string("/q/") + job_id,
+                {{"host", "h.example"}},
+                R"({"spec":"x","steps":[)" + step + "]}"};
+    }
+
     /** Returns the status of the response. */
     int submit(std::string const& key = "",
                std::string const& step = R"({"count":1})")
     {
-        std::optional<int> status;
-        http_request request{"POST",
-                             std::string("/q/") + job_id,
-                             {{"host", "h.example"}},
-                             R"({"spec":"x","steps":[)" + step + "]}"};
+        http_request request = submission(step);
         if (!key.empty())
         {
             request.fields["x-api-key"] = key;
         }
+        return this->call(request);
+    }
+
+    int call(std::string const& method)
+    {
+        return this->call(
+            {method, std::string("/q/") + job_id, {{"host", "h.example"}}, ""});
+    }
+
+    int call(http_request const& request)
+    {
+        std::shared_ptr<std::optional<int>> const status = this->begin(request);
+        this->run_until_set(*status);
+        return **status;
+    }
+
+    /** Sends the request; its response's status is set once it arrives. */
+    std::shared_ptr<std::optional<int>> begin(http_request const& request)
+    {
+        auto const status = std::make_shared<std::optional<int>>();
         this->api->handle(request,
-                          [&status](http_reply const& reply)
+                          [status](http_reply const& reply)
                           {
-                              status = reply.status;
+                              *status = reply.status;
                           });
-        while (!status)
+        return status;
+    }
+
+    template <class T>
+    void run_until_set(std::optional<T> const& awaited)
+    {
+        while (!awaited)
+        {
+            this->run_handlers(1);
+        }
+    }
+
+    void run_handlers(int count)
+    {
+        for (int k = 0; k < count; ++k)
         {
+            this->shared->loop.restart(); // it stops when it runs out of work
             this->shared->loop.poll_one();
             this->standin_loop.poll_one();
         }
-        return *status;
+    }
+
+    std::string stored_job() const
+    {
+        return this->store.value(keys::jobs + std::string(job_id));
     }
 
     boost::asio::io_context standin_loop;
@@ -84,6 +135,7 @@
     std::unique_ptr<context> shared;
     std::shared_ptr<caller_api> api;
     std::vector<message> sent;
+    std::optional<relay_reply> relayed; //!< the last one
 };
 
 TEST_F(caller_api_beside_a_store, sends_an_accepted_job_to_the_placer)
@@ -142,5 +194,74 @@
     EXPECT_EQ(this->submit("k1", gang), 200);
 }
 
+// Guards against a job that runs after its cancellation was answered with "no
+// such job": its submission arrives, or is carried out, later.
+TEST_F(caller_api_beside_a_store, stores_no_job_that_was_cancelled_before)
+{
+    EXPECT_EQ(this->call("DELETE"), 410);
+    EXPECT_EQ(this->submit(), 503);
+    EXPECT_TRUE(this->stored_job().empty());
+    EXPECT_TRUE(this->sent.empty());
+    EXPECT_EQ(this->call("GET"), 410);
+    EXPECT_EQ(this->call("DELETE"), 410);
+    EXPECT_EQ(this->submit(), 503);
+    EXPECT_TRUE(this->stored_job().empty());
+}
+
+// The same for a submission that a daemon without the store has relayed.
+TEST_F(caller_api_beside_a_store, stores_no_relayed_job_that_was_cancelled)
+{
+    EXPECT_EQ(this->call("DELETE"), 410);
+    batch::job relayed_job;
+    relayed_job.id = job_id;
+    relayed_job.queue = this->shared->config->queues[0];
+    relayed_job.steps.resize(1);
+    this->api->serve_relay("d2",
+                           {1,
+                            relay_verb::submit,
+                            relayed_job.id,
+                            batch::encode_job(relayed_job)});
+    this->run_until_set(this->relayed);
+    EXPECT_EQ(this->relayed->outcome, relay_outcome::absent);
+    EXPECT_TRUE(this->stored_job().empty());
+}
+
+// Guards against a promise that ends with a lease: a submission may be on its
+// way for as long as its caller's deadline.
+TEST_F(caller_api_beside_a_store, stores_no_cancelled_job_after_leases_ended)
+{
+    EXPECT_EQ(this->call("DELETE"), 410);
+    this->store.end_leases();
+    EXPECT_EQ(this->submit(), 503);
+    EXPECT_TRUE(this->stored_job().empty());
+}
+
+class cancellation_beside_a_submission : public caller_api_beside_a_store,
+                                         public testing::WithParamInterface<int>
+{
+};
+
+// Guards against answers that contradict what is stored, in whichever order the
+// two reach the store.
+TEST_P(cancellation_beside_a_submission, is_answered_truthfully)
+{
+    auto const submitted = this->begin(submission());
+    this->run_handlers(GetParam());
+    auto const cancelled = this->begin(
+        {"DELETE", std::string("/q/") + job_id, {{"host", "h.example"}}, ""});
+    this->run_until_set(*submitted);
+    this->run_until_set(*cancelled);
+    bool const stored = !this->stored_job().empty();
+    bool const cancel_stored =
+        !this->store.value(keys::cancels + std::string(job_id)).empty();
+    EXPECT_EQ(**submitted, stored ? 200 : 503);
+    EXPECT_EQ(**cancelled, stored ? 200 : 410);
+    EXPECT_EQ(cancel_stored, stored);
+}
+
+INSTANTIATE_TEST_SUITE_P(handlers_between,
+                         cancellation_beside_a_submission,
+                         testing::Values(0, 10, 100, 1000, 10000, 100000));
+
 } // namespace
 } // namespace cicada::cell
--- a/libs/soak/src/callers.cpp
+++ b/libs/soak/src/callers.cpp
@@ -19,7 +19,9 @@
 constexpr double share_on_leaving = 0.1; //!< kept connections of callers
 constexpr double failing_runs = 0.04;
 constexpr double poison_jobs = 0.02; //!< every run of theirs fails
-constexpr int least_allowed = 2;     //!< room for each gang that is drawn
+constexpr double leaving_callers = 0.05;
+constexpr double longest_stay_ms = 1500.0; //!< of those
+constexpr int least_allowed = 2;           //!< room for each gang that is drawn
 
 /** The same for a task and a run, whatever else happens. */
 double draw_of(std::uint64_t seed, std::string const& of)
@@ -175,6 +177,7 @@
     this->shared.judge.submitted(made->job);
     this->shared.report.handed_in += 1;
     this->submit(made);
+    this->leave_early(made);
     double const gap = -std::log(1.0 - this->shared.draw(0.0, 0.999)) * 1000.0 /
                        this->shared.settings.jobs_per_second;
     this->shared.after(milliseconds(static_cast<std::int64_t>(gap)),
@@ -225,9 +228,34 @@
                });
 }
 
+/** Some callers leave before the answer and cancel their job, which may not be
+ * stored yet. */
+void callers::leave_early(std::shared_ptr<caller_job> const& of)
+{
+    std::uint64_t const seed = this->shared.settings.seed;
+    if (draw_of(seed, of->job.id + "#leaves") >= leaving_callers)
+    {
+        return;
+    }
+    double const stay = draw_of(seed, of->job.id + "#stay") * longest_stay_ms;
+    this->shared.after(milliseconds(static_cast<std::int64_t>(stay)),
+                       [this, of]
+                       {
+                           if (!of->accepted && !of->given_up)
+                           {
+                               of->left = true;
+                               this->cancel(of);
+                           }
+                       });
+}
+
 void callers::take_submit(std::shared_ptr<caller_job> const& of,
                           result<http_reply> const& reply)
 {
+    if (of->left)
+    {
+        return;
+    }
     int const status = reply.has_value() ? reply.assume_value().status : 0;
     if (status == 200)
     {
@@ -264,7 +292,10 @@
     this->shared.after(milliseconds(this->shared.draw_int(200, 1500)),
                        [this, of]
                        {
-                           this->submit(of);
+                           if (!of->left)
+                           {
+                               this->submit(of);
+                           }
                        });
 }
 
@@ -283,12 +314,14 @@
                    if (status == 200)
                    {
                        of->cancelled = true;
+                       of->accepted = true; // if its answer had no listener
                        this->shared.judge.cancelled(of->job.id, steady_now());
                        return;
                    }
                    if (status == 410)
                    {
-                       return; // it had ended before
+                       this->take_unknown_job(of);
+                       return;
                    }
                    this->shared.after(milliseconds{500},
                                       [this, of]
@@ -298,6 +331,19 @@
                });
 }
 
+/** A job that wasn't known when it was cancelled must never run. */
+void callers::take_unknown_job(std::shared_ptr<caller_job> const& of)
+{
+    if (of->accepted)
+    {
+        this->shared.breach("an accepted job isn't known: " + of->job.id);
+        return;
+    }
+    of->given_up = true;
+    this->shared.report.refused += 1;
+    this->shared.judge.rejected(of->job.id);
+}
+
 void callers::ask(std::shared_ptr<caller_job> const& of)
 {
     of->asking = true;
--- a/libs/soak/src/site.hpp
+++ b/libs/soak/src/site.hpp
@@ -110,6 +110,7 @@
     bool uncertain = false; //!< an attempt had no answer
     bool given_up = false;
     bool cancel_wanted = false;
+    bool left = false; //!< cancelled without waiting for the job's acceptance
     bool cancel_sent = false;
     bool cancelled = false;
     bool asking = false;
@@ -149,7 +150,9 @@
     void submit(std::shared_ptr<caller_job> const& of);
     void take_submit(std::shared_ptr<caller_job> const& of,
                      result<http_reply> const& reply);
+    void leave_early(std::shared_ptr<caller_job> const& of);
     void cancel(std::shared_ptr<caller_job> const& of);
+    void take_unknown_job(std::shared_ptr<caller_job> const& of);
     void ask(std::shared_ptr<caller_job> const& of);
     void ask_all();
     void call(http_request const& request,
