Let starts of wide steps wait above 256 unanswered orders of the fleet

Sixteen orders of each of 48 workers are 768, more than a placer with a quarter of a core handles within an order's timeout: the answers would be read late and the orders sent again. Found while the bound on orders was checked against the sites' instances, not seen by callers. Steps of 100 tasks or more, gangs among them, wait above 256 unanswered orders; others keep the limit of 2,048.

Tests: a_whole_fleet.has_as_many_unanswered_orders_as_the_step_is_wide failed before with 576 (wide_step) and 752 (wide_gang); narrow_steps held.

That a placer on a quarter of a core keeps its timeouts beside such a job was not run.

--- a/libs/batch/src/orders.cpp
+++ b/libs/batch/src/orders.cpp
@@ -14,8 +14,13 @@
 /** With the longest spec, these take 8 MB, of 120 MB on the smallest instance.
  */
 constexpr int max_unanswered_orders = 2048;
-constexpr int orders_for_narrow_steps = 4; //!< of those per worker
 constexpr int min_tasks_of_wide_step = 100;
+/** Starts of wide steps leave so many orders of each worker to narrow ones. */
+constexpr int orders_for_narrow_steps = 4;
+/** Starts of wide steps wait above this number, so that their answers don't
+ * delay those to other orders beyond the timeout: a placer with a quarter of a
+ * core handles some 1,800 runs a second. */
+constexpr int max_unanswered_orders_beside_wide_steps = 256;
 
 bool may_send_order(scheduler const& s, worker_record const& w)
 {
@@ -23,6 +28,25 @@
            s.unanswered_orders < max_unanswered_orders;
 }
 
+bool may_send_start(scheduler const& s,
+                    worker_record const& w,
+                    task_step const& shape)
+{
+    if (shape.count < min_tasks_of_wide_step)
+    {
+        return may_send_order(s, w);
+    }
+    return w.unanswered_orders + orders_for_narrow_steps <
+               max_unanswered_orders_per_worker &&
+           s.unanswered_orders < max_unanswered_orders_beside_wide_steps;
+}
+
+task_step const& shape_of(scheduler const& s, task_ref const& task)
+{
+    return s.jobs.at(task.job)
+        .accepted.steps[static_cast<std::size_t>(task.step)];
+}
+
 void count_order(scheduler& s, worker_record& w)
 {
     w.unanswered_orders += 1;
@@ -36,11 +60,13 @@
     {
         return;
     }
-    bool const was_full =
-        !takes_start(s, found->second, min_tasks_of_wide_step);
+    bool const held_some =
+        found->second.unanswered_orders + orders_for_narrow_steps >=
+            max_unanswered_orders_per_worker ||
+        s.unanswered_orders >= max_unanswered_orders_beside_wide_steps;
     found->second.unanswered_orders -= 1;
     s.unanswered_orders -= 1;
-    s.placement_due = s.placement_due || was_full;
+    s.placement_due = s.placement_due || held_some;
 }
 
 void send_start(scheduler& s,
@@ -131,13 +157,11 @@
 
 } // namespace
 
-bool takes_start(scheduler const& s, worker_record const& w, int waiting)
+bool takes_start(scheduler const& s,
+                 worker_record const& w,
+                 task_step const& shape)
 {
-    int const reserved =
-        waiting >= min_tasks_of_wide_step ? orders_for_narrow_steps : 0;
-    return w.held_orders == 0 &&
-           w.unanswered_orders + reserved < max_unanswered_orders_per_worker &&
-           s.unanswered_orders < max_unanswered_orders;
+    return w.held_orders == 0 && may_send_start(s, w, shape);
 }
 
 void start_run(scheduler& s,
@@ -177,7 +201,7 @@
             " run=" + std::to_string(run) + " worker=" + w.offer.id +
             " config=" + std::to_string(s.config_version) + " report_age_ms=" +
             std::to_string((s.now - w.clock_read_at).count()));
-    if (may_send_order(s, w))
+    if (may_send_start(s, w, shape))
     {
         send_start(s, w, task, added);
     }
@@ -312,7 +336,10 @@
         {
             continue;
         }
-        if (!may_send_order(s, w))
+        bool const may_send = starts
+                                  ? may_send_start(s, w, shape_of(s, run.first))
+                                  : may_send_order(s, w);
+        if (!may_send)
         {
             w.held_orders += 1;
         }
--- a/libs/batch/src/placing.cpp
+++ b/libs/batch/src/placing.cpp
@@ -116,14 +116,13 @@
               {
                   return packs_better(left, right, preference);
               });
-    int const waiting = step.startable;
     bool held = false;
     auto next = ready.begin();
     for (int k = 0; k < step.shape().count && step.startable > 0; ++k)
     {
         for (; next != ready.end(); ++next)
         {
-            bool const takes = takes_start(s, *next->worker->w, waiting);
+            bool const takes = takes_start(s, *next->worker->w, step.shape());
             if (next->capacity > 0 && takes)
             {
                 break;
--- a/libs/batch/src/state.hpp
+++ b/libs/batch/src/state.hpp
@@ -252,9 +252,11 @@
 // others wait as runs whose order is due: they hold no copy of the spec and no
 // connection, and no timeout runs for them.
 
-/** Returns whether the worker takes the start of another task. A step with
- * `waiting` tasks leaves some orders to steps with few. */
-bool takes_start(scheduler const& s, worker_record const& w, int waiting);
+/** Returns whether the worker takes the start of another task of the step. A
+ * step of many tasks leaves orders to the others. */
+bool takes_start(scheduler const& s,
+                 worker_record const& w,
+                 task_step const& shape);
 
 /** Places a run; its order is sent at once unless too many are unanswered. */
 void start_run(scheduler& s,
--- a/libs/batch/tests/fleet_of_workers.hpp
+++ b/libs/batch/tests/fleet_of_workers.hpp
@@ -139,7 +139,8 @@
         }
         else if (auto const* const order = std::get_if<start_task>(&each))
         {
-            replies.push_back(this->answer(*order));
+            (this->holds_starts ? this->held_answers : replies)
+                .push_back(this->answer(*order));
         }
         else if (auto const* const entry = std::get_if<log_decision>(&each))
         {
@@ -209,6 +210,8 @@
     scheduler_ptr scheduler = make_scheduler({}, this->now);
     std::map<std::string, worker_state> workers;
     std::set<std::string> silent;
+    bool holds_starts = false; //!< answers to starts are held back
+    std::vector<event_body> held_answers;
     std::function<run_end(std::string const& worker, task_ref const& task)>
         outcome = [](std::string const&, task_ref const&)
     {
--- a/libs/batch/tests/order_window_test.cpp
+++ b/libs/batch/tests/order_window_test.cpp
@@ -222,5 +222,59 @@
     EXPECT_EQ(this->starts["wide"].size(), 4000u);
 }
 
+struct fleet_case
+{
+    char const* name;
+    int tasks; //!< of each job
+    int milli_cores;
+    bool gang;
+    int jobs;
+    std::size_t least; //!< unanswered orders
+    std::size_t most;
+};
+
+class a_whole_fleet : public fleet_of_workers,
+                      public testing::WithParamInterface<fleet_case>
+{
+};
+
+/** Guards against wide steps whose answers keep the placer busy for longer than
+ * an order's timeout, at some 1,800 runs a second on the smallest instance.
+ */
+TEST_P(a_whole_fleet, has_as_many_unanswered_orders_as_the_step_is_wide)
+{
+    constexpr int workers = 48;
+    for (int k = 0; k < workers; ++k)
+    {
+        this->add_worker("w" + std::to_string(100 + k));
+    }
+    this->feed(worker_list_complete{});
+    this->run_for(milliseconds{400});
+    this->holds_starts = true;
+    for (int k = 0; k < GetParam().jobs; ++k)
+    {
+        job made = make_job("job" + std::to_string(k),
+                            GetParam().tasks,
+                            GetParam().milli_cores);
+        made.steps.front().size.memory_mib = 1;
+        made.steps.front().gang = GetParam().gang;
+        this->feed(job_stored{made, {}, 0});
+    }
+    this->run_for(milliseconds{200});
+    EXPECT_GE(this->held_answers.size(), GetParam().least);
+    EXPECT_LE(this->held_answers.size(), GetParam().most);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    widths,
+    a_whole_fleet,
+    testing::Values(fleet_case{"wide_step", 5000, 1, false, 1, 100, 256},
+                    fleet_case{"wide_gang", 1500, 1000, true, 1, 100, 256},
+                    fleet_case{"narrow_steps", 60, 1, false, 8, 480, 480}),
+    [](testing::TestParamInfo<fleet_case> const& info)
+    {
+        return info.param.name;
+    });
+
 } // namespace
 } // namespace cicada::batch
