--- a/libs/cell/tests/caller_api_test.cpp
+++ b/libs/cell/tests/caller_api_test.cpp
@@ -97,7 +97,8 @@
     /** Sends the request; its response's status is set once it arrives. */
     std::shared_ptr<std::optional<int>> begin(http_request const& request)
     {
-        auto const status = std::make_shared<std::optional<int>>();
+        std::shared_ptr<std::optional<int>> status =
+            std::make_shared<std::optional<int>>();
         this->api->handle(request,
                           [status](http_reply const& reply)
                           {
