Move the values of workers from batch to job_model

Tasks, offers and reports of workers are values that the scheduler and the adapter share, as those of queues and jobs in job_model are. Nothing else changes.

--- a/libs/job_model/include/job_model/job_model.hpp
+++ b/libs/job_model/include/job_model/job_model.hpp
@@ -9,9 +9,9 @@
 #include <vector>
 
 /**
- * Queues, customers and jobs: what the operators configure and callers submit,
- * and the records of it in the store. The scheduler (batch) and the adapter to
- * the platform share these values. No I/O.
+ * Queues, customers, jobs and workers: what the operators configure, callers
+ * submit and workers report, and the records of it in the store. The scheduler
+ * (batch) and the adapter to the platform share these values. No I/O.
  */
 namespace cicada::batch
 {
@@ -167,6 +167,88 @@
     bool operator==(job_progress const&) const = default;
 };
 
+// ---- workers -------------------------------------------------------------
+
+/** One task of one job. */
+struct task_ref
+{
+    std::string job;
+    int step = 0;
+    int index = 0;
+
+    auto operator<=>(task_ref const&) const = default;
+};
+
+/** A worker's entry in the list of workers. */
+struct worker_offer
+{
+    std::string id;
+    std::string service;
+    address where;
+    zone_id zone;
+    resources capacity;
+    std::vector<std::string> labels; //!< the worker's kind, then its rack
+    bool draining = false;
+    std::int64_t incarnation = 0; //!< differs for each process with this id
+
+    bool operator==(worker_offer const&) const = default;
+};
+
+/** A run that a worker reports as active. */
+struct active_run
+{
+    task_ref task;
+    std::uint64_t run = 0;
+    std::string checkpoint;
+
+    bool operator==(active_run const&) const = default;
+};
+
+enum class run_end
+{
+    done,
+    failed,
+    stopped,
+    lapsed, //!< the worker's lease ran out
+    broken, //!< another member of the gang ended
+    alone   //!< the rest of the gang didn't start in time
+};
+
+/** The end of a run; reported in each poll until it is acknowledged. */
+struct finished_run
+{
+    std::uint64_t number = 0; //!< counts from 1 in each incarnation of a worker
+    task_ref task;
+    std::uint64_t run = 0;
+    run_end how = run_end::done;
+    std::string checkpoint;
+
+    bool operator==(finished_run const&) const = default;
+};
+
+/** A worker's answer to a poll. */
+struct worker_report
+{
+    std::int64_t incarnation = 0;
+    std::int64_t clock_ms = 0; //!< the worker's own clock
+    std::vector<active_run> active;
+    std::vector<finished_run> finished;
+    bool more_finished = false; //!< `finished` is truncated
+
+    bool operator==(worker_report const&) const = default;
+};
+
+/** The outcome of an order to a worker. */
+enum class order_outcome
+{
+    done,    //!< carried out, now or earlier
+    fenced,  //!< the worker has seen a higher fencing token
+    refused, //!< not carried out: old run, late, no capacity, no ticket
+    busy,    //!< not carried out: the worker is unhealthy
+    other_incarnation, //!< the worker has been restarted
+    unknown            //!< no answer: may be carried out, even seconds later
+};
+
 /** A worker's record in the stored roster; immutable. */
 struct worker_location
 {
@@ -178,6 +260,8 @@
     bool operator==(worker_location const&) const = default;
 };
 
+// ---- records of the store ------------------------------------------------
+
 /** Encode and decode the records of the store. Errors: invalid_input. */
 std::string encode_job(job const& given);
 result<job> decode_job(std::string const& bytes);
