Store no cancellation of a job that has ended

A cancellation of a completed job left its record in in/cancel/ for good: nothing deletes it, and each new placer reads it. The record is stored on condition that the job has no end record; otherwise there is nothing to cancel, and the answer stays 200.

The two writes of a cancellation share their handling of the store's answer.

Test, before the change:

caller_api_test.cpp:249: Failure Expected equality of these values: this->store.count(keys::cancels) Which is: 1 0u Which is: 0 [ FAILED ] caller_api_beside_a_store.stores_no_cancellation_of_an_ended_job

A cancellation that is stored while the end is being stored still leaves its record.

--- a/libs/cell/src/caller_api.hpp
+++ b/libs/cell/src/caller_api.hpp
@@ -142,9 +142,19 @@
     /** Answers a submission of a job that was cancelled before. */
     void reject_cancelled(submission const& submitted);
     void retry_or_give_up(submission submitted, error const& why);
+    /** Stores the cancellation of a job, unless it has ended. */
     void store_cancel(std::string const& job,
                       http_responder const& answer,
                       instant deadline);
+    using commit_handler =
+        std::function<void(platform::kv_commit_result const&)>;
+    /** Calls back with the store's answer; without one, the cancellation is
+     * relayed to peers until its deadline. */
+    void commit_cancel(platform::kv_transaction const& change,
+                       std::string const& job,
+                       http_responder const& answer,
+                       instant deadline,
+                       commit_handler const& then);
     void count(platform::caller_call const& call, http_responder const& answer);
     bool load_is_fresh() const;
 
--- a/libs/cell/src/caller_api_records.cpp
+++ b/libs/cell/src/caller_api_records.cpp
@@ -214,23 +214,14 @@
     change.conditions.push_back({keys::jobs + job, 0});
     change.conditions.push_back({keys::ends + job, 0});
     change.writes.push_back({keys::ends + job, keys::cancel_mark, 0});
-    this->shared.store.commit(
+    this->commit_cancel(
         change,
-        [self = this->shared_from_this(),
-         job,
-         answer,
-         deadline,
-         call = store_call{"what=cancel_mark job=" + job, this->shared.now()}](
-            result<platform::kv_commit_result> const& reply)
+        job,
+        answer,
+        deadline,
+        [self = this->shared_from_this(), job, answer, deadline](
+            platform::kv_commit_result const& outcome)
         {
-            self->shared.record_store_call(call, reply);
-            if (!reply.has_value())
-            {
-                self->handle_cancel_failure(
-                    job, answer, deadline, reply.assume_error());
-                return;
-            }
-            platform::kv_commit_result const& outcome = reply.assume_value();
             if (outcome.outcome != platform::kv_commit_status::committed)
             {
                 self->handle_mark_conflict(
@@ -272,13 +263,39 @@
                               instant deadline)
 {
     platform::kv_transaction change;
+    change.conditions.push_back({keys::ends + job, 0});
     change.writes.push_back({keys::cancels + job, "1", 0});
+    this->commit_cancel(
+        change,
+        job,
+        answer,
+        deadline,
+        [self = this->shared_from_this(), job, answer](
+            platform::kv_commit_result const& outcome)
+        {
+            if (outcome.outcome == platform::kv_commit_status::committed)
+            {
+                self->shared.log_event(events::cancel_submitted, "job=" + job);
+                self->ports.send_to_placer(cancel_message{job});
+            }
+            // Otherwise the job has ended, and nothing is left to cancel.
+            answer(platform::encode_accepted());
+        });
+}
+
+void caller_api::commit_cancel(platform::kv_transaction const& change,
+                               std::string const& job,
+                               http_responder const& answer,
+                               instant deadline,
+                               commit_handler const& then)
+{
     this->shared.store.commit(
         change,
         [self = this->shared_from_this(),
          job,
          answer,
          deadline,
+         then,
          call = store_call{"what=cancel job=" + job, this->shared.now()}](
             result<platform::kv_commit_result> const& reply)
         {
@@ -289,9 +306,7 @@
                     job, answer, deadline, reply.assume_error());
                 return;
             }
-            self->shared.log_event(events::cancel_submitted, "job=" + job);
-            self->ports.send_to_placer(cancel_message{job});
-            answer(platform::encode_accepted());
+            then(reply.assume_value());
         });
 }
 
--- a/libs/cell/src/messages.hpp
+++ b/libs/cell/src/messages.hpp
@@ -90,7 +90,7 @@
 enum class relay_outcome
 {
     done,    //!< stored, or the state was read
-    absent,  //!< there is no such job
+    absent,  //!< no such job; of a submission: it was cancelled before
     refused, //!< not executed
     unknown  //!< may be executed, even later
 };
--- a/libs/cell/tests/caller_api_test.cpp
+++ b/libs/cell/tests/caller_api_test.cpp
@@ -237,6 +237,19 @@
     EXPECT_TRUE(this->stored_job().empty());
 }
 
+// Guards against records of cancellations that nothing deletes, as the job has
+// ended before.
+TEST_F(caller_api_beside_a_store, stores_no_cancellation_of_an_ended_job)
+{
+    batch::job_progress ended;
+    ended.state = batch::job_state::completed;
+    this->store.put(keys::ends + std::string(job_id),
+                    batch::encode_progress(ended));
+    EXPECT_EQ(this->call("DELETE"), 200);
+    EXPECT_EQ(this->store.count(keys::cancels), 0u);
+    EXPECT_EQ(this->call("GET"), 200);
+}
+
 class cancellation_beside_a_submission : public caller_api_beside_a_store,
                                          public testing::WithParamInterface<int>
 {
