Metrics of open jobs, task records and orders

Four gauges on the metrics address tell orders, records of tasks and jobs apart.

wide_job.has_few_unanswered_orders checks the gauges against what it counts itself.

--- a/libs/batch/include/batch/batch.hpp
+++ b/libs/batch/include/batch/batch.hpp
@@ -406,6 +406,10 @@
     bool speeds_differ = false; //!< workers are chosen by their speed
     int workers_usable = 0;
     int workers_excluded = 0; //!< their runs failed in a row
+    int jobs_open = 0;
+    int orders_unanswered = 0;
+    int orders_held = 0;  //!< until others are answered
+    int task_records = 0; //!< of open jobs: tasks placed, failed or resumable
 
     bool operator==(scheduler_gauges const&) const = default;
 };
--- a/libs/batch/src/admission.cpp
+++ b/libs/batch/src/admission.cpp
@@ -183,6 +183,19 @@
                                            return usable(state, entry.second);
                                        }));
     out.workers_excluded = static_cast<int>(excluded_workers(state).size());
+    out.jobs_open = static_cast<int>(state.active_jobs.size());
+    out.orders_unanswered = state.unanswered_orders;
+    for (auto const& entry : state.workers)
+    {
+        out.orders_held += entry.second.held_orders;
+    }
+    for (std::string const& id : state.active_jobs)
+    {
+        for (step_record const& step : state.jobs.at(id).steps)
+        {
+            out.task_records += static_cast<int>(step.tasks.size());
+        }
+    }
     return out;
 }
 
--- a/libs/batch/tests/order_window_test.cpp
+++ b/libs/batch/tests/order_window_test.cpp
@@ -11,6 +11,8 @@
 /** Four connections carry the orders to a worker, so 64 orders keep each of
  * them busy for a while. */
 constexpr std::size_t unanswered_bound = 64;
+constexpr std::size_t answers_per_round = 16;
+constexpr int rounds_between_polls = 25;
 
 /** A worker with room for every task, whose answers to orders the test gives
  * one by one. */
@@ -83,14 +85,14 @@
         }
     }
 
-    /** Each round takes 20 ms, in which the worker answers 16 orders. */
+    /** Each round takes 20 ms; the worker is polled every half second. */
     void run_rounds(int count)
     {
         for (int k = 0; k < count; ++k)
         {
-            this->answer_orders(16);
+            this->answer_orders(answers_per_round);
             this->order(time_passed{});
-            if (k % 25 == 0)
+            if (k % rounds_between_polls == 0)
             {
                 this->answer_poll();
             }
@@ -148,6 +150,11 @@
     this->run_rounds(150);
     EXPECT_LE(this->most_unanswered, unanswered_bound);
     EXPECT_GE(this->started, GetParam().started);
+    scheduler_gauges const gauges = gauges_of(*this->scheduler);
+    EXPECT_EQ(static_cast<std::size_t>(gauges.orders_unanswered),
+              this->unanswered.size());
+    EXPECT_EQ(gauges.jobs_open, 1);
+    EXPECT_EQ(gauges.task_records, usage_of(*this->scheduler, "w1")->runs);
 }
 
 /** Guards against stops without a bound when such a job is cancelled. */
--- a/libs/cell/src/cell_operations.cpp
+++ b/libs/cell/src/cell_operations.cpp
@@ -147,6 +147,11 @@
             static_cast<std::uint64_t>(gauges.workers_usable));
         add("workers_excluded",
             static_cast<std::uint64_t>(gauges.workers_excluded));
+        add("jobs_open", static_cast<std::uint64_t>(gauges.jobs_open));
+        add("orders_unanswered",
+            static_cast<std::uint64_t>(gauges.orders_unanswered));
+        add("orders_held", static_cast<std::uint64_t>(gauges.orders_held));
+        add("task_records", static_cast<std::uint64_t>(gauges.task_records));
         add("placer_lag_ms", static_cast<std::uint64_t>(load.lag.count()));
         for (std::size_t i = 0; i < load.wait.size(); ++i)
         {
