--- a/libs/batch/src/jobs.cpp
+++ b/libs/batch/src/jobs.cpp
@@ -149,35 +149,82 @@
     }
 }
 
-void restore(job_record& j, job_progress const& progress)
+/** Returns whether the progress lists steps or tasks that the job lacks. */
+bool lists_unknown_tasks(job_record const& j, job_progress const& progress)
 {
+    std::size_t const steps = j.steps.size();
+    if (progress.done.size() > steps || progress.failed_runs.size() > steps)
+    {
+        return true;
+    }
+    for (std::size_t i = 0; i < progress.done.size(); ++i)
+    {
+        if (progress.done[i].size() >
+            static_cast<std::size_t>(j.steps[i].count))
+        {
+            return true;
+        }
+    }
+    for (std::size_t i = 0; i < progress.failed_runs.size(); ++i)
+    {
+        auto const& failed = progress.failed_runs[i];
+        if (!failed.empty() && (failed.begin()->first < 0 ||
+                                failed.rbegin()->first >= j.steps[i].count))
+        {
+            return true;
+        }
+    }
+    return false;
+}
+
+void restore_done(step_record& step, std::vector<bool> const& done)
+{
+    int const listed = std::min(step.count, static_cast<int>(done.size()));
+    for (int k = 0; k < listed; ++k)
+    {
+        if (done[static_cast<std::size_t>(k)])
+        {
+            mark_done(step, k);
+        }
+    }
+}
+
+void restore_failed_runs(
+    step_record& step,
+    std::map<int, std::set<std::uint64_t>> const& failed_runs)
+{
+    for (auto const& failed : failed_runs)
+    {
+        if (failed.first >= 0 && failed.first < step.count &&
+            phase_of(step, failed.first) != task_phase::done)
+        {
+            step.tasks[failed.first].failed_runs = failed.second;
+        }
+    }
+}
+
+/** Continues from the progress, as far as it lists the job's tasks. */
+void restore(scheduler& s, job_record& j, job_progress const& progress)
+{
+    if (lists_unknown_tasks(j, progress))
+    {
+        log(s,
+            events::malformed_answer,
+            "job=" + j.accepted.id +
+                " why=\"its progress lists tasks that it lacks\"");
+    }
     j.state = progress.state;
     j.stored_state = progress.state;
     j.has_started = progress.state != job_state::queued;
-    for (std::size_t i = 0; i < j.steps.size() && i < progress.done.size(); ++i)
+    for (std::size_t i = 0; i < j.steps.size(); ++i)
     {
-        step_record& step = j.steps[i];
-        std::vector<bool> const& done = progress.done[i];
-        for (int k = 0; k < step.count && k < static_cast<int>(done.size());
-             ++k)
+        if (i < progress.done.size())
         {
-            if (done[static_cast<std::size_t>(k)])
-            {
-                mark_done(step, k);
-            }
+            restore_done(j.steps[i], progress.done[i]);
         }
-    }
-    for (std::size_t i = 0;
-         i < j.steps.size() && i < progress.failed_runs.size();
-         ++i)
-    {
-        for (auto const& failed : progress.failed_runs[i])
+        if (i < progress.failed_runs.size())
         {
-            if (failed.first >= 0 && failed.first < j.steps[i].count &&
-                phase_of(j.steps[i], failed.first) != task_phase::done)
-            {
-                j.steps[i].tasks[failed.first].failed_runs = failed.second;
-            }
+            restore_failed_runs(j.steps[i], progress.failed_runs[i]);
         }
     }
 }
@@ -261,7 +308,7 @@
     }
     if (given.progress)
     {
-        restore(j, *given.progress);
+        restore(s, j, *given.progress);
         j.saved_revision = given.progress_revision;
     }
     if (!has_ended(j.state))
--- a/libs/batch/tests/progress_record_test.cpp
+++ b/libs/batch/tests/progress_record_test.cpp
@@ -1,6 +1,6 @@
-#include "job_model/job_model.hpp"
+#include "fleet_of_workers.hpp"
 
-#include <gtest/gtest.h>
+#include <algorithm>
 
 namespace cicada::batch
 {
@@ -28,6 +28,8 @@
 
 job_progress const with_failures{
     job_state::running, {{true, false}, {}}, {{{1, {5, 9}}}, {}}};
+job_progress const progress_of_one_task{
+    job_state::running, {{true, false}}, {}};
 job_progress const of_version_1{
     job_state::running, {{true, false}}, {{{1, {5}}}}};
 /** {"v": 1, "s": 1, "d": ["10"], "f": [[[], [5]]]} */
@@ -45,5 +47,29 @@
         return info.param.name;
     });
 
+using placer_with_records = fleet_of_workers;
+
+/** Guards against records of another job that go unnoticed, or end the process.
+ */
+TEST_F(placer_with_records, logs_progress_of_tasks_that_the_job_lacks)
+{
+    job_progress const progress{job_state::running,
+                                {{true, false, true}, {true}},
+                                {{{-1, {4}}, {1, {5}}, {7, {6}}}, {{0, {7}}}}};
+    this->feed(job_stored{make_job("a", 2, 1000), progress, 1});
+    EXPECT_EQ(
+        std::count(this->log.begin(),
+                   this->log.end(),
+                   "job=a why=\"its progress lists tasks that it lacks\""),
+        1);
+    EXPECT_EQ(state_of(*this->scheduler, "a"), job_state::running);
+    this->feed(job_stored{make_job("b", 2, 1000), progress_of_one_task, 1});
+    EXPECT_EQ(
+        std::count(this->log.begin(),
+                   this->log.end(),
+                   "job=b why=\"its progress lists tasks that it lacks\""),
+        0);
+}
+
 } // namespace
 } // namespace cicada::batch
