Scheduler: one sum of held orders; comments and a test's names

Read once more as a newcomer: the sum stood in two places, a comment left out tasks that wait again without a checkpoint, and a test's order() delivered events.

--- a/libs/batch/src/admission.cpp
+++ b/libs/batch/src/admission.cpp
@@ -117,6 +117,16 @@
     return out;
 }
 
+int held_orders(scheduler const& s)
+{
+    int held = 0;
+    for (auto const& entry : s.workers)
+    {
+        held += entry.second.held_orders;
+    }
+    return held;
+}
+
 /** Returns how long after submission the job can start and still be in time. */
 milliseconds start_slack(job const& given)
 {
@@ -185,10 +195,7 @@
     out.workers_excluded = static_cast<int>(excluded_workers(state).size());
     out.jobs_open = static_cast<int>(state.active_jobs.size());
     out.orders_unanswered = state.unanswered_orders;
-    for (auto const& entry : state.workers)
-    {
-        out.orders_held += entry.second.held_orders;
-    }
+    out.orders_held = held_orders(state);
     for (std::string const& id : state.active_jobs)
     {
         for (step_record const& step : state.jobs.at(id).steps)
@@ -204,11 +211,9 @@
     std::int64_t capacity = 0;
     std::int64_t used = 0;
     std::size_t workers = 0;
-    int held = 0;
     std::set<std::uint32_t> const excluded = excluded_workers(state);
     for (auto const& entry : state.workers)
     {
-        held += entry.second.held_orders;
         if (usable(state, entry.second) &&
             excluded.count(entry.second.number) == 0)
         {
@@ -248,7 +253,7 @@
         " excluded=" + std::to_string(excluded.size()) +
         " put_off=" + std::to_string(state.put_off_steps) +
         " unanswered=" + std::to_string(state.unanswered_orders) +
-        " held=" + std::to_string(held);
+        " held=" + std::to_string(held_orders(state));
     for (auto const& entry : waiting)
     {
         text += " " + entry.first + "=" + std::to_string(entry.second.steps) +
--- a/libs/batch/src/scheduler_records.hpp
+++ b/libs/batch/src/scheduler_records.hpp
@@ -136,7 +136,7 @@
     done
 };
 
-/** A task that isn't done and has been placed, or has failed. */
+/** A task that is placed, or waits with failures or a checkpoint. */
 struct task_record
 {
     bool placed = false;
@@ -166,8 +166,8 @@
 struct step_record
 {
     int count = 0; //!< of tasks
-    /** By index. Tasks without a record have never been placed, or are done:
-     * a job may have far more tasks than are placed at a time. */
+    /** By index. Tasks without a record are done, or wait without a failure or
+     * a checkpoint: a job may have far more tasks than run at a time. */
     std::map<int, task_record> tasks;
     std::vector<bool> done_tasks; //!< by index; empty while none is done
     int waiting = 0;
--- a/libs/batch/tests/order_window_test.cpp
+++ b/libs/batch/tests/order_window_test.cpp
@@ -19,7 +19,7 @@
 class one_slow_worker : public one_worker
 {
 protected:
-    void order(event_body body)
+    void deliver(event_body body)
     {
         this->now += milliseconds{20};
         if (this->claim_check_sent)
@@ -91,7 +91,7 @@
         for (int k = 0; k < count; ++k)
         {
             this->answer_orders(answers_per_round);
-            this->order(time_passed{});
+            this->deliver(time_passed{});
             if (k % rounds_between_polls == 0)
             {
                 this->answer_poll();
@@ -106,7 +106,7 @@
         {
             report.active.push_back({each.first, each.second, ""});
         }
-        this->order(poll_answered{"w1", this->token, this->now, report});
+        this->deliver(poll_answered{"w1", this->token, this->now, report});
     }
 
     std::deque<event_body> unanswered;
@@ -146,7 +146,7 @@
  * job that fits is ordered at once, each order with a copy of the spec. */
 TEST_P(wide_job, has_few_unanswered_orders)
 {
-    this->order(job_stored{make_wide_job(), {}, 0});
+    this->deliver(job_stored{make_wide_job(), {}, 0});
     this->run_rounds(150);
     EXPECT_LE(this->most_unanswered, unanswered_bound);
     EXPECT_GE(this->started, GetParam().started);
@@ -160,9 +160,9 @@
 /** Guards against stops without a bound when such a job is cancelled. */
 TEST_P(wide_job, has_few_unanswered_stops_when_it_is_cancelled)
 {
-    this->order(job_stored{make_wide_job(), {}, 0});
+    this->deliver(job_stored{make_wide_job(), {}, 0});
     this->run_rounds(50);
-    this->order(cancel_stored{"wide"});
+    this->deliver(cancel_stored{"wide"});
     int const started_before = this->started;
     this->run_rounds(150);
     EXPECT_LE(this->most_unanswered, unanswered_bound);
@@ -189,11 +189,11 @@
     job wide = make_job("wide");
     wide.steps.front().count = 5000;
     wide.steps.front().size = {1, 1, 0};
-    this->order(job_stored{wide, {}, 0});
+    this->deliver(job_stored{wide, {}, 0});
     this->run_rounds(5);
     int const answered_first = static_cast<int>(this->unanswered.size());
     job const ordinary = make_job("ordinary");
-    this->order(job_stored{ordinary, {}, 0});
+    this->deliver(job_stored{ordinary, {}, 0});
     bool ordered = false;
     for (event_body const& each : this->unanswered)
     {
